Add the build, the shared types, the peer messages and the design page

The configuration log is a state machine that applies entries only in order and only when digests chain.

--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/HostId.java
@@ -0,0 +1,19 @@
+package org.trefoilledge.core;
+
+/** Identifies a host, which carries one node and one upstream. */
+public record HostId(String value) implements Comparable<HostId> {
+    /** Checks that the value is a valid name: 1 to 64 lower-case letters, digits, dots and hyphens. */
+    public HostId {
+        Names.check("host", value);
+    }
+
+    @Override
+    public int compareTo(HostId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/Incarnation.java
@@ -0,0 +1,24 @@
+package org.trefoilledge.core;
+
+/**
+ * Tells two runs of a node on the same host apart. A later run has a greater value: the wall-clock milliseconds at
+ * its start.
+ */
+public record Incarnation(long value) implements Comparable<Incarnation> {
+    /** Checks that the value is not negative. */
+    public Incarnation {
+        if (value < 0) {
+            throw new IllegalArgumentException("incarnation must not be negative, but was: " + value);
+        }
+    }
+
+    @Override
+    public int compareTo(Incarnation other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/RouteId.java
@@ -0,0 +1,19 @@
+package org.trefoilledge.core;
+
+/** Identifies a route of the inventory. */
+public record RouteId(String value) implements Comparable<RouteId> {
+    /** Checks that the value is a valid name: 1 to 64 lower-case letters, digits, dots and hyphens. */
+    public RouteId {
+        Names.check("route", value);
+    }
+
+    @Override
+    public int compareTo(RouteId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/config/LogEntry.java
@@ -0,0 +1,20 @@
+package org.trefoilledge.core.config;
+
+import java.util.List;
+
+/**
+ * One entry of the configuration log.
+ *
+ * @param revision its place in the total order; the first entry has 1
+ * @param operation unique id of the write, by which a writer whose answer was lost recognises its own entry
+ * @param previousDigest digest of the entry before, empty for the first
+ */
+public record LogEntry(long revision, String operation, String previousDigest, List<Change> changes) {
+    /** Checks the revision. */
+    public LogEntry {
+        if (revision < 1) {
+            throw new IllegalArgumentException("revision must be at least 1, but was: " + revision);
+        }
+        changes = List.copyOf(changes);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/trefoilledge/core/ClockTest.java
@@ -0,0 +1,14 @@
+package org.trefoilledge.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ClockTest {
+    @Test
+    void systemClockNeverRunsBackwards() {
+        Clock clock = Clock.system();
+        long first = clock.millis();
+        assertThat(clock.millis()).isGreaterThanOrEqualTo(first);
+    }
+}
