--- /dev/null
+++ b/bench/src/main/java/org/trefoilledge/bench/ClockBenchmark.java
@@ -0,0 +1,21 @@
+package org.trefoilledge.bench;
+
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.trefoilledge.core.Clock;
+
+/** The cost of one reading of the clock, which each decision includes. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class ClockBenchmark {
+    private static final Clock CLOCK = Clock.system();
+
+    /** Reads the system clock. */
+    @Benchmark
+    public long systemClock() {
+        return CLOCK.millis();
+    }
+}
