--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/config/InventoryDiff.java
@@ -0,0 +1,139 @@
+package org.trefoilledge.core.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.function.Function;
+import org.trefoilledge.core.HostId;
+
+/** Computes the changes that turn one inventory into another. */
+public final class InventoryDiff {
+    private final Inventory from;
+    private final Inventory to;
+    private final List<Change> changes = new ArrayList<>();
+
+    private InventoryDiff(Inventory from, Inventory to) {
+        this.from = from;
+        this.to = to;
+    }
+
+    /**
+     * Returns the changes that turn {@code from} into {@code to}, empty if they are the same. The order of an
+     * organisation's keys does not matter. An organisation of which only keys differ gets single grants and
+     * withdrawals, so that concurrent changes of other keys are kept.
+     */
+    public static List<Change> changes(Inventory from, Inventory to) {
+        InventoryDiff diff = new InventoryDiff(from, to);
+        diff.deployment();
+        diff.removed(from.routes(), to.routes(), Change.RemoveRoute::new);
+        diff.put(from.services(), to.services(), Change.PutService::new);
+        diff.put(from.routes(), to.routes(), Change.PutRoute::new);
+        diff.removed(from.services(), to.services(), Change.RemoveService::new);
+        diff.organisations();
+        diff.drainedHosts();
+        return List.copyOf(diff.changes);
+    }
+
+    /**
+     * Returns why a deployment cannot change in this way, empty if it can: name, zones and shards per zone are fixed
+     * by the first revision.
+     */
+    public static Optional<String> fixedPartChanged(Inventory from, Inventory to) {
+        if (from.zones().isEmpty()) {
+            return Optional.empty();
+        }
+        if (!from.deployment().equals(to.deployment())) {
+            return Optional.of("this store holds the deployment " + from.deployment() + ", not " + to.deployment());
+        }
+        if (!from.zones().equals(to.zones())) {
+            return Optional.of("zones cannot change after the first revision, because the home zone of a request id"
+                    + " and the shares of every limit follow from them: " + from.zones() + " is in force, "
+                    + to.zones() + " was asked for");
+        }
+        int before = from.rules().shardsPerZone();
+        int after = to.rules().shardsPerZone();
+        if (before != after) {
+            return Optional.of("shards-per-zone cannot change after the first revision, because the arbiter of a"
+                    + " request id follows from it: " + before + " is in force, " + after + " was asked for");
+        }
+        return Optional.empty();
+    }
+
+    private void deployment() {
+        if (!from.deployment().equals(to.deployment()) || !from.zones().equals(to.zones())) {
+            changes.add(new Change.SetDeployment(to.deployment(), to.zones()));
+        }
+        if (!from.rules().equals(to.rules())) {
+            changes.add(new Change.SetRules(to.rules()));
+        }
+    }
+
+    private <K, V> void put(SortedMap<K, V> before, SortedMap<K, V> after, Function<V, Change> change) {
+        after.forEach((id, value) -> {
+            if (!value.equals(before.get(id))) {
+                changes.add(change.apply(value));
+            }
+        });
+    }
+
+    private <K, V> void removed(SortedMap<K, V> before, SortedMap<K, V> after, Function<K, Change> change) {
+        before.keySet().stream()
+                .filter(id -> !after.containsKey(id))
+                .map(change)
+                .forEach(changes::add);
+    }
+
+    /** A withdrawal takes a key from every organisation, so it comes before a key is given to another one. */
+    private void organisations() {
+        withdrawn(from, to).forEach(key -> changes.add(new Change.WithdrawKey(key)));
+        removed(from.organisations(), to.organisations(), Change.RemoveOrganisation::new);
+        for (Organisation after : to.organisations().values()) {
+            Organisation before = from.organisations().get(after.id());
+            if (before == null || !sameLimits(before, after)) {
+                changes.add(new Change.PutOrganisation(after));
+            }
+        }
+        for (Organisation after : to.organisations().values()) {
+            Organisation before = from.organisations().get(after.id());
+            if (before != null && sameLimits(before, after)) {
+                missing(before, after).forEach(key -> changes.add(new Change.GrantKey(after.id(), key)));
+            }
+        }
+    }
+
+    private static List<KeyDigest> withdrawn(Inventory from, Inventory to) {
+        List<KeyDigest> withdrawn = new ArrayList<>();
+        for (Organisation before : from.organisations().values()) {
+            Organisation after = to.organisations().get(before.id());
+            if (after != null && sameLimits(before, after)) {
+                withdrawn.addAll(missing(after, before));
+            }
+        }
+        return withdrawn;
+    }
+
+    private static boolean sameLimits(Organisation one, Organisation other) {
+        return one.rate() == other.rate() && one.burst() == other.burst();
+    }
+
+    private static List<KeyDigest> missing(Organisation in, Organisation from) {
+        Set<KeyDigest> known = new HashSet<>(in.keys());
+        return from.keys().stream().filter(key -> !known.contains(key)).toList();
+    }
+
+    private void drainedHosts() {
+        for (HostId host : to.drainedHosts()) {
+            if (!from.drainedHosts().contains(host)) {
+                changes.add(new Change.DrainHost(host));
+            }
+        }
+        for (HostId host : from.drainedHosts()) {
+            if (!to.drainedHosts().contains(host)) {
+                changes.add(new Change.UndrainHost(host));
+            }
+        }
+    }
+}
