--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanAsk.java
@@ -0,0 +1,13 @@
+package org.trefoilledge.core.limit;
+
+import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.ZoneId;
+
+/**
+ * A loan request that a node sends to the owner of a shard.
+ *
+ * @param id identifies the request within one run of the node, for {@link Wallet#answered} and {@link Wallet#failed}
+ * @param zone zone of the shard
+ * @param wantedMicros wanted tokens in millionths; an owner grants whole tokens if this is a whole number of tokens
+ */
+public record LoanAsk(long id, OrganisationId organisation, ZoneId zone, int shard, long wantedMicros) {}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanSource.java
@@ -0,0 +1,62 @@
+package org.trefoilledge.core.limit;
+
+import org.trefoilledge.core.ZoneId;
+
+/** What a borrower knows about one shard that holds a part of an organisation's limit. Not thread-safe. */
+final class LoanSource {
+    final ZoneId zone;
+    final int shard;
+    private final long rate;
+    private final long burst;
+    private long spare;
+    private long spareAt;
+    private long notBefore;
+    private boolean asked;
+
+    LoanSource(ZoneId zone, int shard, long rate, long burst, long now) {
+        this.zone = zone;
+        this.shard = shard;
+        this.rate = rate;
+        this.burst = burst;
+        spare = burst;
+        spareAt = now;
+        notBefore = now;
+    }
+
+    /** Returns whether a request may be sent now. */
+    boolean available(long now) {
+        return !asked && now - notBefore >= 0;
+    }
+
+    /** Returns the tokens that the owner probably has, if nobody else borrowed meanwhile, in millionths. */
+    long expected(long now) {
+        double gained = (double) rate * Math.max(0, now - spareAt) / 1_000;
+        return Math.min(burst, spare + (long) gained);
+    }
+
+    void asked() {
+        asked = true;
+    }
+
+    void answered(long wanted, LoanGrant grant, long now) {
+        asked = false;
+        if (grant.grantedMicros() < wanted) {
+            spare = 0;
+            notBefore = now + grant.retryAfterMillis();
+        } else {
+            spare = Math.max(0, expected(now) - wanted);
+        }
+        spareAt = now;
+    }
+
+    void failed(long retryAfterMillis, long now) {
+        asked = false;
+        spare = 0;
+        spareAt = now;
+        notBefore = now + retryAfterMillis;
+    }
+
+    boolean sameAs(LoanSource other) {
+        return zone.equals(other.zone) && shard == other.shard && rate == other.rate && burst == other.burst;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/limit/ShareMap.java
@@ -0,0 +1,53 @@
+package org.trefoilledge.core.limit;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.stream.IntStream;
+import org.trefoilledge.core.OrganisationId;
+
+/**
+ * How the limit of an organisation is divided: evenly over the zones, then evenly over some shards of each zone. All
+ * zones use the same shard numbers for one organisation.
+ */
+public final class ShareMap {
+    /** Tokens in millionths. */
+    public static final long TOKEN_MICROS = 1_000_000;
+
+    /** A share below this many tokens of burst would often be too small to serve a short burst by itself. */
+    private static final int LEAST_BURST_PER_SHARD = 8;
+
+    private ShareMap() {}
+
+    /** Returns how many shards of each zone hold a part of a limit with the given burst. */
+    public static int count(double burst, int zones, int shardsPerZone) {
+        double affordable = Math.floor(burst / ((double) zones * LEAST_BURST_PER_SHARD));
+        return (int) Math.max(1, Math.min(affordable, shardsPerZone));
+    }
+
+    /**
+     * Returns the shards of each zone that hold a part of the organisation's limit, those with the highest hash first.
+     * The first {@code n} shards stay the same when the count grows.
+     */
+    public static int[] shards(OrganisationId organisation, int count, int shardsPerZone) {
+        long[] scores = new long[shardsPerZone];
+        Arrays.setAll(scores, shard -> score(organisation, shard));
+        return IntStream.range(0, shardsPerZone)
+                .boxed()
+                .sorted(Comparator.comparingLong((Integer shard) -> scores[shard])
+                        .reversed())
+                .limit(count)
+                .mapToInt(Integer::intValue)
+                .toArray();
+    }
+
+    /** Returns one shard's part of a rate or burst, in millionths, rounded down so that the parts never exceed it. */
+    public static long shareMicros(double total, int zones, int count) {
+        return (long) Math.floor(total * TOKEN_MICROS / ((double) zones * count));
+    }
+
+    private static long score(OrganisationId organisation, int shard) {
+        return Hashing.xxh3_64().hashBytesToLong((organisation.value() + '/' + shard).getBytes(StandardCharsets.UTF_8));
+    }
+}
