--- /dev/null
+++ b/standin/src/main/java/org/trefoilledge/standin/Exchange.java
@@ -0,0 +1,91 @@
+package org.trefoilledge.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Invocable.InvocationType;
+
+/** One request with its response, which is JSON or a closed connection. */
+record Exchange(Request request, Response response, Callback callback) {
+    static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    String method() {
+        return request.getMethod();
+    }
+
+    String path() {
+        return request.getHttpURI().getPath();
+    }
+
+    String header(String name) {
+        return request.getHeaders().get(name);
+    }
+
+    /** Calls the consumer with the whole body, or ends the exchange if it cannot be read. */
+    void whenBodyRead(Consumer<byte[]> consumer) {
+        Content.Source.asByteArrayAsync(
+                request,
+                MAX_BODY_BYTES,
+                Promise.Invocable.from(InvocationType.NON_BLOCKING, guarded(consumer), callback::failed));
+    }
+
+    private Consumer<byte[]> guarded(Consumer<byte[]> consumer) {
+        return body -> {
+            try {
+                consumer.accept(body);
+            } catch (RuntimeException e) {
+                callback.failed(e);
+            }
+        };
+    }
+
+    static JsonNode parse(byte[] body) throws StandinException {
+        try {
+            JsonNode parsed = MAPPER.readTree(body);
+            if (!parsed.isObject()) {
+                throw new StandinException(400, 3, "expected a JSON object");
+            }
+            return parsed;
+        } catch (JsonProcessingException e) {
+            throw new StandinException(400, 3, "expected JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new StandinException(400, 3, "expected JSON: " + e.getMessage());
+        }
+    }
+
+    void json(int status, JsonNode body) {
+        json(status, body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    void json(int status, byte[] body) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    /** Answers with an error in the form of the gRPC gateway. */
+    void error(StandinException e) {
+        ObjectNode body = MAPPER.createObjectNode();
+        json(e.status(), body.put("error", e.getMessage()).put("code", e.code()).put("message", e.getMessage()));
+    }
+
+    /** Closes the connection without a response. */
+    void abort() {
+        request.getConnectionMetaData().getConnection().getEndPoint().close();
+        callback.failed(new IOException("the stand-in closed the connection"));
+    }
+}
