--- a/standin/src/main/java/org/trefoilledge/standin/Exchange.java
+++ b/standin/src/main/java/org/trefoilledge/standin/Exchange.java
@@ -7,13 +7,14 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Invocable.InvocationType;
 
 /** One request with its response, which is JSON or a closed connection. */
 record Exchange(Request request, Response response, Callback callback) {
@@ -35,12 +36,20 @@
 
     /** Calls the consumer with the whole body, or ends the exchange if it cannot be read. */
     void whenBodyRead(Consumer<byte[]> consumer) {
-        CompletableFuture<Void> unused = Content.Source.asByteArrayAsync(request, MAX_BODY_BYTES)
-                .thenAccept(consumer)
-                .exceptionally(failure -> {
-                    callback.failed(failure);
-                    return null;
-                });
+        Content.Source.asByteArrayAsync(
+                request,
+                MAX_BODY_BYTES,
+                Promise.Invocable.from(InvocationType.NON_BLOCKING, guarded(consumer), callback::failed));
+    }
+
+    private Consumer<byte[]> guarded(Consumer<byte[]> consumer) {
+        return body -> {
+            try {
+                consumer.accept(body);
+            } catch (RuntimeException e) {
+                callback.failed(e);
+            }
+        };
     }
 
     static JsonNode parse(byte[] body) throws StandinException {
--- a/standin/src/main/java/org/trefoilledge/standin/Gateway.java
+++ b/standin/src/main/java/org/trefoilledge/standin/Gateway.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
 import java.util.function.Consumer;
@@ -90,7 +91,7 @@
     }
 
     private static void checkValue(JsonNode put) throws StandinException {
-        if (bytes(put, "value").length > MAX_VALUE_BYTES) {
+        if (bytes(put, "value").length() > MAX_VALUE_BYTES) {
             throw invalid("etcdserver: request is too large");
         }
     }
@@ -117,21 +118,25 @@
     }
 
     static ObjectNode json(KeyValues.Item item) {
-        return object().put("key", Base64.getEncoder().encodeToString(item.key()))
+        return object().put("key", base64(item.key()))
                 .put("create_revision", Long.toString(item.createRevision()))
                 .put("mod_revision", Long.toString(item.modRevision()))
                 .put("version", Long.toString(item.version()))
-                .put("value", Base64.getEncoder().encodeToString(item.value()));
+                .put("value", base64(item.value()));
     }
 
-    static byte[] bytes(JsonNode message, String field) throws StandinException {
+    static String bytes(JsonNode message, String field) throws StandinException {
         try {
-            return Base64.getDecoder().decode(message.path(field).asText(""));
+            return new String(Base64.getDecoder().decode(message.path(field).asText("")), StandardCharsets.ISO_8859_1);
         } catch (IllegalArgumentException e) {
             throw invalid(field + " is not valid base64");
         }
     }
 
+    private static String base64(String bytes) {
+        return Base64.getEncoder().encodeToString(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     static StandinException invalid(String message) {
         return new StandinException(BAD_REQUEST, INVALID_ARGUMENT, message);
     }
--- a/standin/src/main/java/org/trefoilledge/standin/KeyValues.java
+++ b/standin/src/main/java/org/trefoilledge/standin/KeyValues.java
@@ -1,28 +1,30 @@
 package org.trefoilledge.standin;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
 
-/** The content of the stand-in store: keys in order, with etcd's revisions. Not thread-safe. */
+/**
+ * The content of the stand-in store: keys in order, with etcd's revisions. Bytes are kept as ISO-8859-1 texts, whose
+ * order is that of the unsigned bytes. Not thread-safe.
+ */
 final class KeyValues {
-    private final TreeMap<byte[], Item> items = new TreeMap<>(Arrays::compareUnsigned);
+    private final TreeMap<String, Item> items = new TreeMap<>();
     private long revision = 1;
 
     /** A key with its value and revisions. */
-    record Item(byte[] key, byte[] value, long createRevision, long modRevision, long version) {}
+    record Item(String key, String value, long createRevision, long modRevision, long version) {}
 
     long revision() {
         return revision;
     }
 
-    Item get(byte[] key) {
+    Item get(String key) {
         return items.get(key);
     }
 
-    Item put(byte[] key, byte[] value) {
+    Item put(String key, String value) {
         revision++;
         Item old = items.get(key);
         Item item = new Item(
@@ -36,12 +38,12 @@
     }
 
     /** Returns the items from a key up to an end, which follows etcd's rules: none is one key, a zero byte no end. */
-    List<Item> range(byte[] first, byte[] end) {
-        if (end.length == 0) {
+    List<Item> range(String first, String end) {
+        if (end.isEmpty()) {
             Item item = items.get(first);
             return item == null ? List.of() : List.of(item);
         }
-        NavigableMap<byte[], Item> tail = items.tailMap(first, true);
+        NavigableMap<String, Item> tail = items.tailMap(first, true);
         List<Item> found = new ArrayList<>();
         for (Item item : tail.values()) {
             if (!within(item.key(), first, end)) {
@@ -52,12 +54,12 @@
         return found;
     }
 
-    static boolean within(byte[] key, byte[] first, byte[] end) {
-        if (end.length == 0) {
-            return Arrays.equals(key, first);
+    static boolean within(String key, String first, String end) {
+        if (end.isEmpty()) {
+            return key.equals(first);
         }
-        boolean open = end.length == 1 && end[0] == 0;
-        return Arrays.compareUnsigned(key, first) >= 0 && (open || Arrays.compareUnsigned(key, end) < 0);
+        boolean open = end.equals("\0");
+        return key.compareTo(first) >= 0 && (open || key.compareTo(end) < 0);
     }
 
     KeyValues copy() {
