Add the transport between nodes

Requests carry stream ids that grow on a connection and are unique for an incarnation, so a response reaches only its own request and a repeated frame cannot run a request twice. A request counts as sent once it was handed to an established connection.

--- /dev/null
+++ b/wire/src/main/java/org/trefoilledge/wire/FrameDecoder.java
@@ -0,0 +1,100 @@
+package org.trefoilledge.wire;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.zip.CRC32C;
+import org.trefoilledge.wire.generated.Envelope;
+
+/** Reads frames: the message's length as varint32, four bytes CRC-32C of the message, the message. */
+final class FrameDecoder extends ByteToMessageDecoder {
+    static final int CHECKSUM_BYTES = 4;
+    private static final int MAX_LENGTH_BYTES = 5;
+    private static final int INCOMPLETE = -1;
+
+    private final int maxFrameBytes;
+    private final Traffic traffic;
+    private final CRC32C checksum = new CRC32C();
+    private boolean failed;
+
+    FrameDecoder(int maxFrameBytes, Traffic traffic) {
+        this.maxFrameBytes = maxFrameBytes;
+        this.traffic = traffic;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws ProtocolException {
+        if (failed) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        // Set until the frame is complete and correct, because frames after a malformed one must not be read.
+        failed = true;
+        decodeFrame(in, out);
+        failed = false;
+    }
+
+    private void decodeFrame(ByteBuf in, List<Object> out) throws ProtocolException {
+        int start = in.readerIndex();
+        int length = readLength(in);
+        if (length == INCOMPLETE || in.readableBytes() < CHECKSUM_BYTES + length) {
+            in.readerIndex(start);
+            return;
+        }
+        int expected = in.readInt();
+        ByteBuffer message = in.nioBuffer(in.readerIndex(), length);
+        in.skipBytes(length);
+        traffic.received(in.readerIndex() - start);
+        verify(message.duplicate(), expected);
+        out.add(parse(message));
+    }
+
+    private int readLength(ByteBuf in) throws ProtocolException {
+        long length = 0;
+        for (int i = 0; i < MAX_LENGTH_BYTES; i++) {
+            if (!in.isReadable()) {
+                return INCOMPLETE;
+            }
+            byte next = in.readByte();
+            length |= (next & 0x7FL) << (7 * i);
+            if (next >= 0) {
+                return checked(length);
+            }
+        }
+        throw new ProtocolException("frame length has more than " + MAX_LENGTH_BYTES + " bytes");
+    }
+
+    private int checked(long length) throws ProtocolException {
+        if (length > maxFrameBytes) {
+            throw new ProtocolException("frame of " + length + " bytes exceeds the bound of " + maxFrameBytes);
+        }
+        return (int) length;
+    }
+
+    private void verify(ByteBuffer message, int expected) throws ProtocolException {
+        checksum.reset();
+        checksum.update(message);
+        if ((int) checksum.getValue() != expected) {
+            throw new ProtocolException("frame has a wrong checksum");
+        }
+    }
+
+    private static Envelope parse(ByteBuffer message) throws ProtocolException {
+        try {
+            Envelope envelope = Envelope.parseFrom(CodedInputStream.newInstance(message));
+            if (envelope.getMessageCase() == Envelope.MessageCase.MESSAGE_NOT_SET) {
+                throw new ProtocolException("frame has no message of a known type");
+            }
+            return envelope;
+        } catch (InvalidProtocolBufferException e) {
+            throw new ProtocolException("frame has a malformed message: " + e.getMessage());
+        } catch (IOException e) {
+            throw new IllegalStateException("reading from memory cannot fail", e);
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerConnection.java
@@ -0,0 +1,154 @@
+package org.trefoilledge.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.trefoilledge.wire.generated.Envelope;
+
+/** One connection to a peer. Fields that are not volatile belong to the connection's network thread. */
+abstract class PeerConnection extends SimpleChannelInboundHandler<Envelope> {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerConnection.class);
+
+    private final PeerTransport transport;
+    private volatile Channel channel;
+    private volatile PeerIdentity peer;
+    private String closeReason;
+    private ScheduledFuture<?> handshakeTimer;
+
+    PeerConnection(PeerTransport transport) {
+        super(Envelope.class);
+        this.transport = transport;
+    }
+
+    /** Called once when both sides know each other. */
+    abstract void established();
+
+    /** Called for each message of a known peer that is not blocked. */
+    abstract void received(Envelope envelope) throws ProtocolException;
+
+    /** Called once when the connection has closed. */
+    abstract void closed(String reason);
+
+    /** Returns whether any request still waits for its response. */
+    abstract boolean busy();
+
+    PeerTransport transport() {
+        return transport;
+    }
+
+    Channel channel() {
+        return channel;
+    }
+
+    /** Returns the peer's identity, or null before the exchange of identities. */
+    PeerIdentity peer() {
+        return peer;
+    }
+
+    boolean blocked() {
+        return transport.blocked(peer);
+    }
+
+    /** Closes the connection; may be called from any thread. */
+    void close(String reason) {
+        Channel current = channel;
+        if (current != null) {
+            current.eventLoop().execute(() -> closeNow(reason));
+        }
+    }
+
+    @SuppressWarnings("FutureReturnValueIgnored") // channelInactive follows, whatever the result of the close is
+    void closeNow(String reason) {
+        if (closeReason == null) {
+            closeReason = reason;
+        }
+        channel.close();
+    }
+
+    void sendHello() {
+        write(Envelope.newBuilder().setHello(transport.identity().hello()).build());
+    }
+
+    /** Writes a message that nobody waits for. */
+    void write(Envelope envelope) {
+        channel.writeAndFlush(envelope).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        transport.opened(this);
+        int timeout = transport.settings().connectTimeoutMillis();
+        handshakeTimer = context.executor()
+                .schedule(() -> closeNow("no identity within " + timeout + " ms"), timeout, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        transport.closed(this);
+        if (handshakeTimer != null) {
+            handshakeTimer.cancel(false);
+        }
+        closed(closeReason == null ? "the peer closed the connection" : closeReason);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope envelope) throws ProtocolException {
+        if (closeReason != null) {
+            return;
+        }
+        if (envelope.hasHello()) {
+            identify(PeerIdentity.of(envelope.getHello()));
+        } else if (peer == null) {
+            throw new ProtocolException("first message is not a Hello");
+        } else if (!blocked()) {
+            received(envelope);
+        }
+    }
+
+    private void identify(PeerIdentity identity) throws ProtocolException {
+        if (peer != null) {
+            throw new ProtocolException("second Hello on one connection");
+        }
+        if (transport.blocked(identity)) {
+            return;
+        }
+        peer = identity;
+        handshakeTimer.cancel(false);
+        transport.identified(this);
+        established();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && !busy()) {
+            closeNow("idle");
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        Throwable root = cause instanceof DecoderException && cause.getCause() != null ? cause.getCause() : cause;
+        if (root instanceof ProtocolException) {
+            LOG.warn("peer: closing the connection with {}: {}", name(), root.getMessage());
+        } else {
+            LOG.debug("peer: connection with {} failed", name(), root);
+        }
+        closeNow(root.getMessage());
+    }
+
+    private String name() {
+        return peer == null ? String.valueOf(channel.remoteAddress()) : peer.toString();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
@@ -0,0 +1,275 @@
+package org.trefoilledge.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.NetUtil;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.trefoilledge.wire.generated.Envelope;
+
+/**
+ * Sends requests to peers and receives theirs. Each peer address has one connection for the requests of this side; the
+ * peer's own requests come over a connection that the peer opened. Thread-safe.
+ */
+public final class PeerTransport implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerTransport.class);
+    private static final int SHUTDOWN_MILLIS = 2_000;
+    /** An incoming connection reads no requests while more response bytes than the second figure are unwritten. */
+    private static final WriteBufferWaterMark WATER_MARKS = new WriteBufferWaterMark(256 * 1024, 1024 * 1024);
+    /** Frames that are written together in one system call when they come at the same time. */
+    private static final int MAX_UNFLUSHED_FRAMES = 64;
+
+    private final PeerIdentity self;
+    private final PeerHandler handler;
+    private final TransportSettings settings;
+    private final Traffic traffic = new Traffic();
+    private final AtomicLong streams = new AtomicLong();
+    private final Map<String, OutgoingConnection> outgoing = new ConcurrentHashMap<>();
+    private final Set<PeerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final EventLoopGroup group;
+    private final Channel listener;
+    private volatile Predicate<PeerIdentity> blocked = peer -> false;
+    private volatile boolean closed;
+
+    /** Binds and listens on the address in the settings; fails if that is not possible. */
+    public PeerTransport(PeerIdentity self, PeerHandler handler, TransportSettings settings) throws IOException {
+        this.self = Objects.requireNonNull(self, "self");
+        this.handler = Objects.requireNonNull(handler, "handler");
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.group = new MultiThreadIoEventLoopGroup(
+                settings.threads(), new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
+        this.listener = listen();
+    }
+
+    /**
+     * Sends a request and returns the future of its response. The future fails with a {@link PeerException}: after the
+     * timeout, if the connection cannot be opened or closes, or if too many bytes wait on it. It completes on a network
+     * thread, so its dependents must not block. A timeout does not cancel the request at the peer.
+     */
+    public CompletableFuture<Envelope> ask(String address, Envelope request, long timeoutMillis) {
+        PendingRequest pending = new PendingRequest(address, request, timeoutMillis);
+        if (pending.frameBytes() > settings.maxFrameBytes()) {
+            pending.fail("request of " + pending.frameBytes() + " bytes exceeds the frame bound");
+        } else if (timeoutMillis <= 0) {
+            pending.fail("no time left");
+        } else {
+            submit(pending);
+        }
+        return pending;
+    }
+
+    /**
+     * Ends a request that {@link #ask} returned and tells the peer that nobody waits for it. Has no effect on a request
+     * that has its response. A request that timed out may be cancelled too.
+     */
+    public void cancel(CompletableFuture<Envelope> answer) {
+        if (!(answer instanceof PendingRequest pending)) {
+            throw new IllegalArgumentException("only a future that ask returned can be cancelled");
+        }
+        OutgoingConnection connection = pending.connection();
+        if (connection != null) {
+            connection.cancel(pending);
+        }
+    }
+
+    /**
+     * Drops all traffic with the peers that match, in both directions, without closing connections, until the next
+     * call. It simulates a partition for tests.
+     */
+    public void setBlocked(Predicate<PeerIdentity> peers) {
+        blocked = Objects.requireNonNull(peers, "peers");
+    }
+
+    /** Returns the IP address and port on which this transport listens. */
+    public String address() {
+        return NetUtil.toSocketAddressString((InetSocketAddress) listener.localAddress());
+    }
+
+    /** Returns the bytes of all frames sent so far. */
+    public long bytesSent() {
+        return traffic.bytesSent();
+    }
+
+    /** Returns the bytes of all frames received so far. */
+    public long bytesReceived() {
+        return traffic.bytesReceived();
+    }
+
+    /** Returns the number of responses that arrived after their request had ended. */
+    public long lateResponses() {
+        return traffic.lateResponses();
+    }
+
+    /** Returns the number of open connections, started by either side. */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    /** Closes all connections and fails the open requests. Must not be called on a network thread. */
+    @Override
+    public void close() {
+        closed = true;
+        listener.close().awaitUninterruptibly();
+        connections.forEach(connection -> connection.close("the transport is closed"));
+        outgoing.values().forEach(connection -> connection.close("the transport is closed"));
+        group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(2L * SHUTDOWN_MILLIS);
+    }
+
+    void submit(PendingRequest request) {
+        if (closed) {
+            request.fail("the transport is closed");
+            return;
+        }
+        try {
+            outgoing.computeIfAbsent(request.address(), this::open).submit(request);
+        } catch (IllegalArgumentException e) {
+            request.fail(e.getMessage());
+        }
+    }
+
+    PeerIdentity identity() {
+        return self;
+    }
+
+    PeerHandler handler() {
+        return handler;
+    }
+
+    TransportSettings settings() {
+        return settings;
+    }
+
+    Traffic traffic() {
+        return traffic;
+    }
+
+    /** Returns a stream id that no other request of this incarnation has. */
+    long nextStream() {
+        return streams.incrementAndGet();
+    }
+
+    boolean blocked(PeerIdentity peer) {
+        return peer != null && blocked.test(peer);
+    }
+
+    void opened(PeerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(PeerConnection connection) {
+        connections.remove(connection);
+        if (connection instanceof OutgoingConnection ours) {
+            retired(ours);
+        }
+    }
+
+    /** Gives the connection no new requests. */
+    void retired(OutgoingConnection connection) {
+        outgoing.remove(connection.address(), connection);
+    }
+
+    /** Closes the connections of a run of the peer's host, or of its address, that this peer has replaced. */
+    void identified(PeerConnection connection) {
+        for (PeerConnection other : connections) {
+            if (replaces(connection, other)) {
+                LOG.info("peer: {} replaces {}", connection.peer(), other.peer());
+                other.close("replaced by " + connection.peer());
+            }
+        }
+    }
+
+    private static boolean replaces(PeerConnection newer, PeerConnection older) {
+        PeerIdentity identity = older.peer();
+        if (identity == null || newer.peer().equals(identity)) {
+            return false;
+        }
+        return newer.peer().replaces(identity) || sameAddress(newer, older);
+    }
+
+    private static boolean sameAddress(PeerConnection newer, PeerConnection older) {
+        return newer instanceof OutgoingConnection first
+                && older instanceof OutgoingConnection second
+                && first.address().equals(second.address());
+    }
+
+    private OutgoingConnection open(String address) {
+        InetSocketAddress target = PeerAddress.parse(address);
+        OutgoingConnection connection = new OutgoingConnection(this, address, group.next());
+        ChannelFuture connecting = new Bootstrap()
+                .group(connection.loop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .handler(pipeline(() -> connection, settings.idleMillis()))
+                .connect(target);
+        connecting.addListener(done -> connected(connection, done.cause()));
+        return connection;
+    }
+
+    private static void connected(OutgoingConnection connection, Throwable cause) {
+        if (cause == null) {
+            connection.sendHello();
+        } else {
+            connection.failed("cannot connect: " + cause.getMessage());
+        }
+    }
+
+    private Channel listen() throws IOException {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARKS)
+                // The side that opened a connection closes it first, so that no request meets a closing connection.
+                .childHandler(pipeline(() -> new IncomingConnection(this), 2L * settings.idleMillis()))
+                .bind(PeerAddress.parse(settings.listen()))
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+            throw new IOException("cannot listen on " + settings.listen(), bound.cause());
+        }
+        return bound.channel();
+    }
+
+    private ChannelInitializer<SocketChannel> pipeline(Supplier<PeerConnection> connection, long idleMillis) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+                        .addLast(new FlushConsolidationHandler(MAX_UNFLUSHED_FRAMES, true))
+                        .addLast(new FrameDecoder(settings.maxFrameBytes(), traffic))
+                        .addLast(new FrameEncoder(traffic))
+                        .addLast(connection.get());
+            }
+        };
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
@@ -0,0 +1,294 @@
+package org.trefoilledge.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.trefoilledge.wire.Peers.answerOf;
+import static org.trefoilledge.wire.Peers.await;
+import static org.trefoilledge.wire.Peers.call;
+import static org.trefoilledge.wire.Peers.failureOf;
+import static org.trefoilledge.wire.Peers.identity;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.trefoilledge.wire.generated.Call;
+import org.trefoilledge.wire.generated.Envelope;
+
+/** Tests two transports against each other over loopback. */
+@Timeout(30)
+class PeerTransportTest {
+    private static final TransportSettings SETTINGS = TransportSettings.of("127.0.0.1:0");
+
+    private final List<PeerTransport> started = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        started.forEach(PeerTransport::close);
+    }
+
+    private PeerTransport start(String host, long incarnation, PeerHandler handler) throws IOException {
+        return start(host, incarnation, handler, SETTINGS);
+    }
+
+    private PeerTransport start(String host, long incarnation, PeerHandler handler, TransportSettings settings)
+            throws IOException {
+        PeerTransport transport = new PeerTransport(identity(host, incarnation), handler, settings);
+        started.add(transport);
+        return transport;
+    }
+
+    @Test
+    void requestGetsItsWholeResponse() throws Exception {
+        AtomicReference<PeerIdentity> sender = new AtomicReference<>();
+        PeerTransport server = start("b", 1, (from, request, responder) -> {
+            sender.set(from);
+            responder.accept(answerOf(request));
+        });
+        PeerTransport client = start("a", 7, Peers.SILENT);
+        Envelope large = Envelope.newBuilder()
+                .setCall(Call.newBuilder().setTarget("/large").setBody(ByteString.copyFrom(new byte[1024 * 1024])))
+                .build();
+
+        Envelope answer = client.ask(server.address(), large, 5_000).get();
+
+        assertThat(answer.getCallAnswer().getBody()).isEqualTo(large.getCall().getBody());
+        assertThat(sender.get()).isEqualTo(identity("a", 7));
+        assertThat(client.bytesSent()).isGreaterThan(1024 * 1024);
+        assertThat(client.bytesReceived()).isGreaterThan(1024 * 1024);
+        assertThat(client.openConnections()).isEqualTo(1);
+    }
+
+    /** Guards against a response that reaches another request when many are open and answered in any order. */
+    @Test
+    void thousandCrossedStreamsEachGetTheirOwnResponse() throws Exception {
+        for (long seed = 1; seed <= 3; seed++) {
+            crossStreams(RandomGeneratorFactory.of("L64X128MixRandom").create(seed));
+        }
+    }
+
+    private void crossStreams(RandomGenerator random) throws Exception {
+        List<Runnable> answers = Collections.synchronizedList(new ArrayList<>());
+        PeerTransport server = start(
+                "b",
+                random.nextLong(1_000),
+                (from, request, responder) -> answers.add(() -> responder.accept(answerOf(request))));
+        PeerTransport client = start("a", 1, Peers.SILENT);
+        Map<String, CompletableFuture<Envelope>> asked = new HashMap<>();
+        for (int i = 0; i < 1_000; i++) {
+            asked.put("/" + i, client.ask(server.address(), call("/" + i), 10_000));
+        }
+        await(() -> answers.size() == 1_000);
+        while (!answers.isEmpty()) {
+            answers.remove(random.nextInt(answers.size())).run();
+        }
+        for (Map.Entry<String, CompletableFuture<Envelope>> entry : asked.entrySet()) {
+            assertThat(entry.getValue().get().getCallAnswer().getUpstream()).isEqualTo(entry.getKey());
+        }
+        assertThat(client.lateResponses()).isZero();
+    }
+
+    @Test
+    void responseAfterTheTimeoutIsDroppedAndCounted() throws Exception {
+        AtomicReference<Runnable> late = new AtomicReference<>();
+        PeerTransport server = start("b", 1, (from, request, responder) -> {
+            if (request.getCall().getTarget().equals("/slow")) {
+                late.set(() -> responder.accept(answerOf(request)));
+            } else {
+                responder.accept(answerOf(request));
+            }
+        });
+        PeerTransport client = start("a", 1, Peers.SILENT);
+
+        PeerException failure = failureOf(client.ask(server.address(), call("/slow"), 100));
+        assertThat(failure.sent()).isTrue();
+        late.get().run();
+
+        Envelope next = client.ask(server.address(), call("/next"), 5_000).get();
+        assertThat(next.getCallAnswer().getUpstream()).isEqualTo("/next");
+        assertThat(client.lateResponses()).isEqualTo(1);
+    }
+
+    /** Guards against an answer that a responder sends twice and that a later request could receive. */
+    @Test
+    void secondResponseOfAHandlerIsNotSent() throws Exception {
+        PeerTransport server = start("b", 1, (from, request, responder) -> {
+            responder.accept(answerOf(request));
+            responder.accept(answerOf(call("/wrong")));
+        });
+        PeerTransport client = start("a", 1, Peers.SILENT);
+        for (int i = 0; i < 10; i++) {
+            Envelope answer = client.ask(server.address(), call("/" + i), 5_000).get();
+            assertThat(answer.getCallAnswer().getUpstream()).isEqualTo("/" + i);
+        }
+        assertThat(client.lateResponses()).isZero();
+    }
+
+    @Test
+    void refusedConnectionFailsTheRequestAsNotSent() throws Exception {
+        PeerTransport gone = start("b", 1, Peers.SILENT);
+        String address = gone.address();
+        gone.close();
+        PeerTransport client = start("a", 1, Peers.SILENT);
+
+        assertThat(failureOf(client.ask(address, call("/"), 5_000)).sent()).isFalse();
+        assertThat(failureOf(client.ask("no-address", call("/"), 5_000)).sent()).isFalse();
+    }
+
+    /** Guards against requests that are lost, or reported as not sent, when a peer restarts under its address. */
+    @Test
+    void restartedPeerFailsOpenRequestsAndServesNewOnes() throws Exception {
+        List<String> handled = Collections.synchronizedList(new ArrayList<>());
+        PeerTransport first = start(
+                "b",
+                1,
+                (from, request, responder) -> handled.add(request.getCall().getTarget()));
+        PeerTransport client = start("a", 1, Peers.SILENT);
+        CompletableFuture<Envelope> open = client.ask(first.address(), call("/old"), 20_000);
+        await(() -> handled.contains("/old"));
+        TransportSettings same = TransportSettings.of(first.address());
+        first.close();
+
+        assertThat(failureOf(open).sent()).isTrue();
+        PeerTransport second = start("b", 2, (from, request, responder) -> responder.accept(answerOf(request)), same);
+        Envelope answer = client.ask(second.address(), call("/new"), 5_000).get();
+        assertThat(answer.getCallAnswer().getUpstream()).isEqualTo("/new");
+    }
+
+    /** Guards against a connection to a replaced run of a host that stays in use because its end was never seen. */
+    @Test
+    void laterIncarnationClosesConnectionsToTheEarlierOne() throws Exception {
+        List<String> handled = Collections.synchronizedList(new ArrayList<>());
+        PeerTransport old = start(
+                "b",
+                1,
+                (from, request, responder) -> handled.add(request.getCall().getTarget()));
+        PeerTransport client = start("a", 1, Peers.SILENT);
+        CompletableFuture<Envelope> open = client.ask(old.address(), call("/old"), 20_000);
+        await(() -> handled.contains("/old"));
+
+        PeerTransport replacement = start("b", 2, Peers.SILENT);
+        failureOf(replacement.ask(client.address(), call("/hello"), 200));
+
+        PeerException failure = failureOf(open);
+        assertThat(failure.sent()).isTrue();
+        assertThat(failure).hasMessageContaining("replaced by b/z1#2");
+    }
+
+    @Test
+    void cancelledRequestIsReportedToTheHandlerOnce() throws Exception {
+        List<String> events = Collections.synchronizedList(new ArrayList<>());
+        PeerTransport server = start("b", 1, new PeerHandler() {
+            @Override
+            public void handle(PeerIdentity from, Envelope request, Consumer<Envelope> responder) {
+                events.add("request " + request.getStream());
+            }
+
+            @Override
+            public void cancelled(PeerIdentity from, long stream) {
+                events.add("cancelled " + stream);
+            }
+        });
+        PeerTransport client = start("a", 1, Peers.SILENT);
+        CompletableFuture<Envelope> answer = client.ask(server.address(), call("/"), 20_000);
+        await(() -> events.size() == 1);
+
+        client.cancel(answer);
+        client.cancel(answer);
+
+        assertThat(failureOf(answer)).hasMessageContaining("cancelled");
+        await(() -> events.size() == 2);
+        client.close();
+        await(() -> server.openConnections() == 0);
+        assertThat(events).containsExactly("request 1", "cancelled 1");
+    }
+
+    /** Guards against work for a caller that is gone. */
+    @Test
+    void requestsOfAClosedConnectionAreCancelled() throws Exception {
+        List<Long> cancelled = Collections.synchronizedList(new ArrayList<>());
+        List<Long> handled = Collections.synchronizedList(new ArrayList<>());
+        PeerTransport server = start("b", 1, new PeerHandler() {
+            @Override
+            public void handle(PeerIdentity from, Envelope request, Consumer<Envelope> responder) {
+                handled.add(request.getStream());
+            }
+
+            @Override
+            public void cancelled(PeerIdentity from, long stream) {
+                cancelled.add(stream);
+            }
+        });
+        PeerTransport client = start("a", 1, Peers.SILENT);
+        CompletableFuture<Envelope> answer = client.ask(server.address(), call("/"), 20_000);
+        await(() -> handled.size() == 1);
+        client.close();
+        await(() -> cancelled.equals(handled));
+        assertThat(failureOf(answer).sent()).isTrue();
+    }
+
+    /** Guards against a partition that is noticed at once, unlike a real one, or that does not heal. */
+    @Test
+    void blockedPeerIsSilentUntilThePartitionHeals() throws Exception {
+        List<String> handled = Collections.synchronizedList(new ArrayList<>());
+        PeerTransport server = start("b", 1, (from, request, responder) -> {
+            handled.add(request.getCall().getTarget());
+            responder.accept(answerOf(request));
+        });
+        PeerTransport client = start("a", 1, Peers.SILENT, SETTINGS.withTimes(300, 60_000, 3_000));
+        client.ask(server.address(), call("/before"), 5_000).get();
+
+        server.setBlocked(peer -> peer.host().value().equals("a"));
+        PeerException failure = failureOf(client.ask(server.address(), call("/during"), 200));
+        assertThat(failure.sent()).isTrue();
+        assertThat(client.openConnections()).isEqualTo(1);
+
+        server.setBlocked(peer -> false);
+        client.ask(server.address(), call("/after"), 5_000).get();
+        assertThat(handled).containsExactly("/before", "/after");
+    }
+
+    @Test
+    void blockedPeerCannotBeConnectedTo() throws Exception {
+        PeerTransport server = start("b", 1, (from, request, responder) -> responder.accept(answerOf(request)));
+        PeerTransport client = start("a", 1, Peers.SILENT, SETTINGS.withTimes(200, 60_000, 3_000));
+        client.setBlocked(peer -> peer.zone().value().equals("z1"));
+        assertThat(failureOf(client.ask(server.address(), call("/"), 5_000)).sent())
+                .isFalse();
+
+        client.setBlocked(peer -> false);
+        client.ask(server.address(), call("/"), 5_000).get();
+    }
+
+    /** Guards against a connection that stays silent after a partition, until TCP sends again minutes later. */
+    @Test
+    void silentConnectionIsReplaced() throws Exception {
+        PeerTransport server = start("b", 1, (from, request, responder) -> responder.accept(answerOf(request)));
+        PeerTransport client = start("a", 1, Peers.SILENT, SETTINGS.withTimes(300, 60_000, 100));
+        client.ask(server.address(), call("/"), 5_000).get();
+        server.setBlocked(peer -> true);
+        failureOf(client.ask(server.address(), call("/"), 150));
+        await(() -> client.openConnections() == 0);
+        server.setBlocked(peer -> false);
+        client.ask(server.address(), call("/"), 5_000).get();
+    }
+
+    @Test
+    void idleConnectionIsClosedAndOpenedAgainOnDemand() throws Exception {
+        PeerTransport server = start("b", 1, (from, request, responder) -> responder.accept(answerOf(request)));
+        PeerTransport client = start("a", 1, Peers.SILENT, SETTINGS.withTimes(1_000, 100, 3_000));
+        client.ask(server.address(), call("/"), 5_000).get();
+        await(() -> client.openConnections() == 0);
+        client.ask(server.address(), call("/"), 5_000).get();
+    }
+}
