--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/overload/Guard.java
@@ -0,0 +1,312 @@
+package org.trefoilledge.core.overload;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.trefoilledge.core.ErrorKind;
+import org.trefoilledge.core.OrganisationId;
+
+/**
+ * Decides which calls run on one upstream, in which order, and which are refused. The caller holds one lock around
+ * every method, performs the returned actions in order, and calls {@link #tick} every 10 ms.
+ *
+ * <p>Each offered call gets exactly one {@link GuardAction.Run} or {@link GuardAction.Refuse}, unless it is cancelled
+ * while it is queued. A refused call has not run.
+ */
+public final class Guard {
+    private static final long GENERATION_MILLIS = 1_000;
+    private static final long EXPIRY_SCAN_MILLIS = 50;
+    private static final long RETRY_BASE_MILLIS = 250;
+    /** Stands for every organisation when fairness is off. */
+    private static final OrganisationId ONE_FLOW = new OrganisationId("all");
+
+    private final GuardSettings settings;
+    private final ConcurrencyLimit limit;
+    private final AdmissionLevel level = new AdmissionLevel();
+    private final FairQueue[] queues;
+    private final Map<Long, PendingCall> calls = new HashMap<>();
+    private Map<OrganisationId, Double> weights = Map.of();
+    private int slots;
+    private int running;
+    private int queued;
+    private boolean draining;
+    private long startMillis = -1;
+    private long nowMillis;
+    private long scannedMillis;
+
+    /** Creates a guard with the announced slots and equal weights. */
+    public Guard(GuardSettings settings) {
+        this.settings = settings;
+        this.slots = settings.slots();
+        this.limit =
+                new ConcurrencyLimit(slots, settings.has(Mechanism.ADAPTIVE_LIMIT), settings.has(Mechanism.COLD_START));
+        this.queues = new FairQueue[settings.has(Mechanism.IMPORTANCE) ? 4 : 1];
+        for (int i = 0; i < queues.length; i++) {
+            queues[i] = new FairQueue(settings.delayTargetMillis(), settings.delayWindowMillis());
+        }
+    }
+
+    /**
+     * Takes over the announced slots and the weight of each organisation (its rate). An organisation without a weight
+     * counts with weight 1.
+     */
+    public void configure(int newSlots, Map<OrganisationId, Double> newWeights) {
+        if (newSlots < 1) {
+            throw new IllegalArgumentException("slots must be at least 1, but was: " + newSlots);
+        }
+        newWeights.forEach(Guard::checkWeight);
+        slots = newSlots;
+        weights = Map.copyOf(newWeights);
+        limit.configure(newSlots);
+        for (FairQueue queue : queues) {
+            queue.configure(weights);
+        }
+    }
+
+    /** Offers a call. The actions may also concern other calls that the new one displaces. */
+    public List<GuardAction> offer(GuardedCall call, long now) {
+        advance(now);
+        if (draining) {
+            return List.of(refusal(call, ErrorKind.DRAINING));
+        }
+        limit.started(now);
+        int rank = AdmissionLevel.rank(call.importance(), call.rootHash());
+        level.arrived(rank);
+        if (hopeless(call)) {
+            return List.of(refusal(call, ErrorKind.DEADLINE_EXCEEDED));
+        }
+        FairQueue queue = queue(call);
+        Flow flow = queue.flow(flowKey(call), weights);
+        if (flow.size > 0 && settings.has(Mechanism.ADMISSION_LEVEL) && rank < level.value()) {
+            return List.of(refusal(call, ErrorKind.OVERLOADED));
+        }
+        return enqueue(call, queue, flow);
+    }
+
+    /**
+     * Reports that a running call ended, which frees its slot. Also to be called for a cancelled running call once the
+     * upstream has let go of it.
+     *
+     * @param succeeded whether the upstream completed the call; a failed or cancelled call says little about latency
+     */
+    public List<GuardAction> finished(long ticket, boolean succeeded, long now) {
+        advance(now);
+        PendingCall call = calls.get(ticket);
+        if (call == null || !call.running) {
+            return List.of();
+        }
+        calls.remove(ticket);
+        running--;
+        limit.sample(call.startedMillis, succeeded, now);
+        level.completed();
+        return dispatch(new ArrayList<>(2));
+    }
+
+    /**
+     * Reports that the sender cancelled a call. A queued call is forgotten without an action; a running call keeps
+     * its slot until {@link #finished}.
+     */
+    public List<GuardAction> cancelled(long ticket, long now) {
+        advance(now);
+        PendingCall call = calls.get(ticket);
+        if (call != null && !call.running) {
+            leaveQueue(call);
+        }
+        return List.of();
+    }
+
+    /** Refuses expired calls, updates the admission level and dispatches what a grown limit allows. */
+    public List<GuardAction> tick(long now) {
+        advance(now);
+        List<GuardAction> actions = new ArrayList<>();
+        boolean standing = false;
+        for (FairQueue queue : queues) {
+            queue.observeDelay(now);
+            standing |= queue.standing();
+        }
+        if (settings.has(Mechanism.ADMISSION_LEVEL)) {
+            level.update(standing, queued == 0, now);
+        }
+        if (queued > 0 && now - scannedMillis >= EXPIRY_SCAN_MILLIS) {
+            scannedMillis = now;
+            refuseExpired(actions);
+        }
+        return dispatch(actions);
+    }
+
+    /** Refuses new calls from now on; queued and running calls are kept. */
+    public void draining() {
+        draining = true;
+    }
+
+    /** Returns the load at the given time. */
+    public LoadReport report(long now) {
+        long delay = 0;
+        for (FairQueue queue : queues) {
+            delay = Math.max(delay, queue.delayMillis(now));
+        }
+        return new LoadReport(running, limit.current(now), delay, level.value());
+    }
+
+    /** Returns the generation number, which grows every second. */
+    public long generation() {
+        long elapsed = startMillis < 0 ? 0 : nowMillis - startMillis;
+        return settings.firstGeneration() + elapsed / GENERATION_MILLIS;
+    }
+
+    /**
+     * Returns whether a dispatch stamped with the given generation may run, by the time of the last call of this
+     * guard. A number that is older by two or more is late; a greater one comes from another run of the node.
+     */
+    public boolean acceptsGeneration(long stamped) {
+        long own = generation();
+        return stamped <= own && stamped > own - 2;
+    }
+
+    /** Returns whether a dispatch stamped with the given generation may run now; also right after a pause. */
+    public boolean acceptsGeneration(long stamped, long now) {
+        advance(now);
+        return acceptsGeneration(stamped);
+    }
+
+    private static void checkWeight(OrganisationId organisation, double weight) {
+        if (!(weight > 0) || Double.isInfinite(weight)) {
+            throw new IllegalArgumentException("weight of " + organisation + " must be positive, but was: " + weight);
+        }
+    }
+
+    private void advance(long now) {
+        if (startMillis < 0) {
+            startMillis = now;
+            nowMillis = now;
+        }
+        nowMillis = Math.max(nowMillis, now);
+    }
+
+    private FairQueue queue(GuardedCall call) {
+        return queues[queues.length == 1 ? 0 : AdmissionLevel.order(call.importance())];
+    }
+
+    private OrganisationId flowKey(GuardedCall call) {
+        return settings.has(Mechanism.FAIRNESS) ? call.organisation() : ONE_FLOW;
+    }
+
+    private boolean newestFirst(FairQueue queue) {
+        return queue.standing() && settings.has(Mechanism.NEWEST_FIRST);
+    }
+
+    /**
+     * Returns whether the call cannot finish in time. While nothing runs, a call that has any time left is let
+     * through, because only a finished call can show that the upstream is fast again.
+     */
+    private boolean hopeless(GuardedCall call) {
+        long left = call.deadlineMillis() - nowMillis;
+        if (left <= 0) {
+            return true;
+        }
+        return settings.has(Mechanism.DEADLINES) && running > 0 && left < limit.serviceMillis();
+    }
+
+    private List<GuardAction> enqueue(GuardedCall call, FairQueue queue, Flow flow) {
+        PendingCall displaced = null;
+        if (queue.size() >= queueBound()) {
+            displaced = displaced(queue, flow);
+            if (displaced == null) {
+                return List.of(refusal(call, ErrorKind.OVERLOADED));
+            }
+        }
+        PendingCall pending = new PendingCall(call, nowMillis);
+        if (calls.putIfAbsent(call.ticket(), pending) != null) {
+            throw new IllegalArgumentException("ticket is already in use: " + call.ticket());
+        }
+        queue.add(flow, pending);
+        queued++;
+        if (displaced == null && running >= allowed()) {
+            return List.of();
+        }
+        List<GuardAction> actions = new ArrayList<>(2);
+        if (displaced != null) {
+            evict(displaced, ErrorKind.OVERLOADED, actions);
+        }
+        return dispatch(actions);
+    }
+
+    /** Returns the queued call that makes room in a full queue, or null when the arriving call itself is to go. */
+    private PendingCall displaced(FairQueue queue, Flow arriving) {
+        Flow largest = queue.largest(arriving);
+        if (newestFirst(queue)) {
+            return largest.oldest;
+        }
+        return largest == arriving ? null : largest.newest;
+    }
+
+    private int queueBound() {
+        return Math.max(settings.queueFloor(), settings.queuePerSlot() * slots);
+    }
+
+    private int allowed() {
+        return settings.has(Mechanism.CONCURRENCY_LIMIT) ? limit.current(nowMillis) : Integer.MAX_VALUE;
+    }
+
+    private List<GuardAction> dispatch(List<GuardAction> actions) {
+        while (queued > 0 && running < allowed()) {
+            PendingCall next = poll();
+            queued--;
+            if (hopeless(next.call)) {
+                calls.remove(next.call.ticket());
+                actions.add(refusal(next.call, ErrorKind.DEADLINE_EXCEEDED));
+                continue;
+            }
+            next.flow.queue.charge(next.flow);
+            next.running = true;
+            next.startedMillis = nowMillis;
+            running++;
+            actions.add(new GuardAction.Run(next.call.ticket()));
+        }
+        return actions;
+    }
+
+    private PendingCall poll() {
+        for (FairQueue queue : queues) {
+            if (queue.size() > 0) {
+                return queue.poll(newestFirst(queue));
+            }
+        }
+        throw new IllegalStateException("no call is queued");
+    }
+
+    private void refuseExpired(List<GuardAction> actions) {
+        for (FairQueue queue : queues) {
+            queue.forEach(call -> {
+                if (hopeless(call.call)) {
+                    evict(call, ErrorKind.DEADLINE_EXCEEDED, actions);
+                }
+            });
+        }
+    }
+
+    private void evict(PendingCall call, ErrorKind kind, List<GuardAction> actions) {
+        leaveQueue(call);
+        actions.add(refusal(call.call, kind));
+    }
+
+    private void leaveQueue(PendingCall call) {
+        calls.remove(call.call.ticket());
+        call.flow.queue.remove(call);
+        queued--;
+    }
+
+    private GuardAction refusal(GuardedCall call, ErrorKind kind) {
+        return new GuardAction.Refuse(call.ticket(), kind, retryAfterMillis(call, kind));
+    }
+
+    /** Spreads retries over one to three times the base, by a hash of the call instead of a random source. */
+    private static long retryAfterMillis(GuardedCall call, ErrorKind kind) {
+        if (kind != ErrorKind.OVERLOADED) {
+            return 0;
+        }
+        long mixed = ((call.ticket() ^ call.rootHash()) * 0x9E3779B97F4A7C15L) >>> 32;
+        return RETRY_BASE_MILLIS + mixed % (2 * RETRY_BASE_MILLIS);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/overload/PendingCall.java
@@ -0,0 +1,17 @@
+package org.trefoilledge.core.overload;
+
+/** A queued or running call. Queued calls of one flow form a doubly linked list, so that any one leaves in O(1). */
+final class PendingCall {
+    final GuardedCall call;
+    final long arrivedMillis;
+    long startedMillis;
+    boolean running;
+    Flow flow;
+    PendingCall older;
+    PendingCall newer;
+
+    PendingCall(GuardedCall call, long arrivedMillis) {
+        this.call = call;
+        this.arrivedMillis = arrivedMillis;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/overload/RetryRatio.java
@@ -0,0 +1,48 @@
+package org.trefoilledge.core.overload;
+
+/**
+ * Bounds the retries to one service to a tenth of its requests, with a small reserve for bursts of failures.
+ * Thread-safe.
+ */
+public final class RetryRatio {
+    private static final double RETRIES_PER_REQUEST = 0.1;
+    private static final double RESERVE = 10;
+    private static final long WINDOW_MILLIS = 10_000;
+
+    private double tokens = RESERVE;
+    private double earned;
+    private double earnedBefore;
+    private long windowStartMillis = Long.MIN_VALUE;
+
+    /** Counts a first attempt. */
+    public synchronized void requestSent(long now) {
+        rotate(now);
+        earned += RETRIES_PER_REQUEST;
+        tokens = Math.min(tokens + RETRIES_PER_REQUEST, RESERVE + earned + earnedBefore);
+    }
+
+    /** Takes the right to one retry; returns false when the ratio is used up. */
+    public synchronized boolean tryRetry(long now) {
+        rotate(now);
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    /** Forgets what was earned more than two windows ago, so that a quiet hour does not allow a retry storm. */
+    private void rotate(long now) {
+        if (windowStartMillis == Long.MIN_VALUE) {
+            windowStartMillis = now;
+        }
+        long windows = (now - windowStartMillis) / WINDOW_MILLIS;
+        if (windows <= 0) {
+            return;
+        }
+        earnedBefore = windows == 1 ? earned : 0;
+        earned = 0;
+        windowStartMillis += windows * WINDOW_MILLIS;
+        tokens = Math.min(tokens, RESERVE + earnedBefore);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/placement/Candidate.java
@@ -0,0 +1,29 @@
+package org.trefoilledge.core.placement;
+
+import java.util.Objects;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
+import org.trefoilledge.core.ServiceId;
+import org.trefoilledge.core.ZoneId;
+
+/**
+ * An upstream that may receive calls.
+ *
+ * @param peerAddress address of the node on the upstream's host
+ * @param incarnation run of that node; a new one starts without load figures and failures
+ * @param slots concurrent calls that the upstream announced
+ */
+public record Candidate(
+        HostId host, ZoneId zone, ServiceId service, String peerAddress, Incarnation incarnation, int slots) {
+    /** Checks that every field is present and that there is at least one slot. */
+    public Candidate {
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(zone, "zone");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(peerAddress, "peer address");
+        Objects.requireNonNull(incarnation, "incarnation");
+        if (slots < 1) {
+            throw new IllegalArgumentException("slots of " + host + " must be at least 1, but was: " + slots);
+        }
+    }
+}
