--- /dev/null
+++ b/core/src/test/java/org/trefoilledge/core/overload/SheddingTest.java
@@ -0,0 +1,117 @@
+package org.trefoilledge.core.overload;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.trefoilledge.core.Importance;
+import org.trefoilledge.core.RouteId;
+
+class SheddingTest {
+    private static final RouteId ORDERS = new RouteId("orders");
+    private static final RouteId PROOFS = new RouteId("proofs");
+
+    private final SheddingTable table = new SheddingTable();
+    private final AdmissionLevel level = new AdmissionLevel();
+
+    private void observe(int value, int times, long now) {
+        for (int i = 0; i < times; i++) {
+            table.observe(ORDERS, value, now);
+        }
+    }
+
+    /** Offers the given calls in each window of 50 ms under a standing delay. */
+    private void surge(int windows, int arrivals, int completions) {
+        SplittableRandom random = new SplittableRandom(1);
+        for (int window = 0; window <= windows; window++) {
+            for (int i = 0; i < arrivals; i++) {
+                level.arrived(random.nextInt(AdmissionLevel.RANKS));
+            }
+            for (int i = 0; i < completions; i++) {
+                level.completed();
+            }
+            level.update(true, false, window * 50L);
+        }
+    }
+
+    @Test
+    void importanceOutranksTheHash() {
+        assertThat(AdmissionLevel.rank(Importance.HIGH, 0)).isGreaterThan(AdmissionLevel.rank(Importance.NORMAL, -1));
+    }
+
+    @Test
+    void negativeHashHasAValidRank() {
+        assertThat(AdmissionLevel.rank(Importance.LOW, -1)).isBetween(0, 1023);
+    }
+
+    @Test
+    void levelShedsOnlyTheClassesThatDoNotFit() {
+        surge(5, 400, 100);
+        assertThat(level.value()).isBetween(2 * 1024, 3 * 1024);
+    }
+
+    @Test
+    void levelLeavesTheMostImportantClassWhenItFits() {
+        surge(100, 400, 150);
+        assertThat(level.value()).isLessThan(AdmissionLevel.rank(Importance.CRITICAL, 0));
+    }
+
+    @Test
+    void levelFallsToZeroWithinTwoSecondsOfAnEmptyQueue() {
+        surge(5, 400, 100);
+        for (long now = 300; now <= 2_300; now += 10) {
+            level.update(false, true, now);
+        }
+        assertThat(level.value()).isZero();
+    }
+
+    @Test
+    void levelStaysZeroWithoutAStandingDelay() {
+        level.arrived(0);
+        level.update(false, false, 0);
+        level.update(false, false, 100);
+        assertThat(level.value()).isZero();
+    }
+
+    @Test
+    void unknownRouteAdmitsEverything() {
+        assertThat(table.admits(ORDERS, Importance.LOW, 0, 0)).isTrue();
+    }
+
+    @Test
+    void callBelowTheObservedLevelIsShed() {
+        observe(2_000, 50, 0);
+        assertThat(table.admits(ORDERS, Importance.LOW, 5, 0)).isFalse();
+    }
+
+    @Test
+    void callAboveTheObservedLevelIsAdmitted() {
+        observe(2_000, 50, 0);
+        assertThat(table.admits(ORDERS, Importance.HIGH, 5, 0)).isTrue();
+    }
+
+    @Test
+    void oneRouteDoesNotShedAnother() {
+        observe(2_000, 50, 0);
+        assertThat(table.admits(PROOFS, Importance.LOW, 0, 0)).isTrue();
+    }
+
+    @Test
+    void levelWithoutConfirmationIsForgottenWithinTwoSeconds() {
+        observe(AdmissionLevel.RANKS, 50, 0);
+        assertThat(table.admits(ORDERS, Importance.LOW, 0, 2_000)).isTrue();
+    }
+
+    @Test
+    void responsesWithoutALevelLowerIt() {
+        observe(2_000, 50, 0);
+        observe(0, 200, 0);
+        assertThat(table.admits(ORDERS, Importance.LOW, 8, 0)).isTrue();
+    }
+
+    @Test
+    void retryTimeGrowsWithTheLevel() {
+        observe(AdmissionLevel.RANKS, 50, 0);
+        assertThat(table.retryAfterMillis(ORDERS, 0, new SplittableRandom(1))).isBetween(480L, 1_500L);
+    }
+}
