--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/authority/Voter.java
@@ -0,0 +1,99 @@
+package org.trefoilledge.core.authority;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
+
+/**
+ * Votes for a host's seat: gives promises and adopts record versions. A node that started has forgotten its promises,
+ * so it does not vote for H; and it must learn the highest record version before it votes, so that it never promises
+ * on a version that its earlier run had left behind.
+ */
+final class Voter {
+    private final Incarnation incarnation;
+    private final long promiseMillis;
+    private final long votesFrom;
+    private final Map<HostId, Promise> promises = new HashMap<>();
+    private final Set<HostId> heard = new HashSet<>();
+    private long recoveringSince;
+    private boolean recovered;
+
+    private record Promise(Incarnation to, long until) {}
+
+    Voter(Incarnation incarnation, long promiseMillis, long now) {
+        this.incarnation = incarnation;
+        this.promiseMillis = promiseMillis;
+        votesFrom = now + promiseMillis;
+        recoveringSince = now;
+    }
+
+    /** Returns whether the votes of this node count. */
+    boolean voting(long now) {
+        return recovered && now >= votesFrom;
+    }
+
+    boolean recovered() {
+        return recovered;
+    }
+
+    long recoveringSince() {
+        return recoveringSince;
+    }
+
+    /** The highest version must be learned again, for example after a pause in which a later run may have started. */
+    void recoverAgain(long now) {
+        recovered = false;
+        recoveringSince = now;
+        heard.clear();
+    }
+
+    /** The store responded to a read sent at this time. */
+    void read(long sentAt) {
+        recovered |= sentAt >= recoveringSince;
+    }
+
+    /** A voting peer told its version, which {@code known} is at least equal to. */
+    void heard(HostId from, long sentAt, ZoneRecord known) {
+        if (sentAt < recoveringSince) {
+            return;
+        }
+        heard.add(from);
+        long seats =
+                known.members().stream().filter(m -> heard.contains(m.host())).count();
+        recovered |= seats >= known.majority();
+    }
+
+    PeerMessage.PromiseAnswer promise(
+            HostId from, PeerMessage.PromiseRequest request, Optional<ZoneRecord> known, long now) {
+        if (known.isEmpty() || !voting(now)) {
+            return new PeerMessage.PromiseAnswer(false, incarnation, 0, Optional.empty());
+        }
+        ZoneRecord record = known.get();
+        if (request.version() != record.version()) {
+            Optional<ZoneRecord> newer = request.version() < record.version() ? known : Optional.empty();
+            return new PeerMessage.PromiseAnswer(false, incarnation, record.version(), newer);
+        }
+        boolean granted = record.active(from, request.incarnation());
+        if (granted) {
+            promises.put(from, new Promise(request.incarnation(), now + promiseMillis));
+        }
+        return new PeerMessage.PromiseAnswer(granted, incarnation, record.version(), Optional.empty());
+    }
+
+    PeerMessage.AdoptAnswer adopt(PeerMessage.AdoptRequest request, Optional<ZoneRecord> known, long now) {
+        long version = known.map(ZoneRecord::version).orElse(0L);
+        boolean adopted = voting(now) && version >= request.record().version();
+        boolean running = request.subject().filter(host -> promising(host, now)).isPresent();
+        return new PeerMessage.AdoptAnswer(adopted, incarnation, running, version);
+    }
+
+    /** Returns whether a promise to any run of the host has not expired. */
+    boolean promising(HostId host, long now) {
+        Promise promise = promises.get(host);
+        return promise != null && now < promise.until();
+    }
+}
