--- a/core/src/main/java/org/trefoilledge/core/authority/Authority.java
+++ b/core/src/main/java/org/trefoilledge/core/authority/Authority.java
@@ -46,6 +46,7 @@
     private long operations;
     private long exchanges;
     private boolean absent;
+    private boolean active; // whether the known record shows this run as active
     private boolean backOff = true;
     private boolean leaving;
     private boolean retired;
@@ -89,7 +90,15 @@
     }
 
     private boolean acting(long now) {
-        return !retired && renewal.valid(now) && activeMember();
+        return !retired && active && renewal.valid(now);
+    }
+
+    /**
+     * Returns an immutable copy of this node's authority for other threads. Publish it after each event or tick and
+     * before the actions are carried out, so that a shard is given up before the record says so.
+     */
+    public Grant grant() {
+        return retired || !active ? Grant.NONE : new Grant(renewal.until(), owned.usable());
     }
 
     /** Returns the latest record version that this node knows. */
@@ -282,6 +291,7 @@
         record = Optional.of(next);
         revision = -1;
         absent = false;
+        active = next.active(self.host(), self.incarnation());
         planner.learned(next, now);
         next.member(self.host()).ifPresent(member -> retireIfReplacedBy(member.incarnation()));
         updateShards(next, before);
@@ -297,8 +307,9 @@
         Set<Integer> lost = owned.lostWith(now);
         lost.forEach(shard -> out.add(lostShard(shard, next)));
         owned.lose(lost);
+        Set<Integer> returned = mayHaveReturned(next);
         for (int shard : now) {
-            if (!owned.owned(shard)) {
+            if (!owned.owned(shard) || returned.contains(shard)) {
                 owned.gain(shard, before, next.version());
                 out.add(new AuthorityAction.OpenShard(shard, createdHere(next)));
             }
@@ -306,6 +317,16 @@
         }
     }
 
+    /**
+     * Returns the shards of a transfer that this node cannot tell from one that did not happen: later versions hide
+     * whether the shard went to another member, which took claims, and came back.
+     */
+    private Set<Integer> mayHaveReturned(ZoneRecord next) {
+        return pending.filter(swap -> next.version() > swap.record().version())
+                .map(swap -> swap.moves().keySet())
+                .orElse(Set.of());
+    }
+
     /** A member loses a shard only by its own transfer or by its removal. */
     private AuthorityAction lostShard(int shard, ZoneRecord next) {
         Optional<PendingSwap> transfer =
@@ -330,10 +351,6 @@
                 .isPresent();
     }
 
-    private boolean activeMember() {
-        return record.filter(r -> r.active(self.host(), self.incarnation())).isPresent();
-    }
-
     private void handOverReceived(AuthorityEvent.HandOverReceived handed, long now) {
         out.addAll(owned.handedOver(handed.shard(), handed.version()));
         if (record.filter(r -> r.version() >= handed.version()).isEmpty()) {
@@ -430,7 +447,7 @@
     // ---- promises
 
     private void askPromisesIfNeeded(long now) {
-        boolean useful = record.filter(ZoneRecord::hasPromises).isPresent() && activeMember() && !retired;
+        boolean useful = record.filter(ZoneRecord::hasPromises).isPresent() && active && !retired;
         if (!useful || !renewal.needsPromises(now)) {
             return;
         }
--- a/core/src/main/java/org/trefoilledge/core/authority/Renewal.java
+++ b/core/src/main/java/org/trefoilledge/core/authority/Renewal.java
@@ -20,6 +20,10 @@
         roundSentAt = now;
     }
 
+    long until() {
+        return until;
+    }
+
     boolean valid(long now) {
         return now < until;
     }
@@ -56,8 +60,4 @@
     private static boolean activeSeat(HostId host, ZoneRecord record) {
         return record.member(host).filter(Member::active).isPresent();
     }
-
-    void stop(long now) {
-        until = Math.min(until, now);
-    }
 }
