Add the operators' command

Each write ends with one outcome: accepted, rejected with the reason, or not known yet with the command that finds out. A write whose answer was lost is sent again, which the store's compare-and-swap makes harmless.

--- /dev/null
+++ b/operator/src/main/java/org/trefoilledge/operator/CertainWrite.java
@@ -0,0 +1,94 @@
+package org.trefoilledge.operator;
+
+import java.util.Optional;
+import org.trefoilledge.platform.Store;
+import org.trefoilledge.platform.StoreException;
+import org.trefoilledge.platform.StoreUnavailableException;
+import org.trefoilledge.platform.StoredValue;
+
+/**
+ * A compare-and-swap that finds out its outcome. While that is not known the same write is sent again: the store
+ * takes it only on top of the expected value, so this cannot write twice, and it ends the uncertainty as soon as the
+ * store answers.
+ */
+final class CertainWrite {
+    private static final long FIRST_PAUSE_MILLIS = 100;
+    private static final long LONGEST_PAUSE_MILLIS = 1_000;
+
+    private final Store store;
+    private final Environment environment;
+    private final long timeoutMillis;
+    private boolean mayHaveTakenEffect;
+
+    /** What is known about the write. */
+    enum Result {
+        /** The value was written. */
+        WRITTEN,
+        /** The key has another value than the expected one and than the value to write. */
+        LOST,
+        /** The value may have been written, or may still be. */
+        NOT_KNOWN
+    }
+
+    CertainWrite(Store store, Environment environment, long timeoutMillis) {
+        this.store = store;
+        this.environment = environment;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /**
+     * Writes a value if the key still has the expected revision, 0 if it must be absent.
+     *
+     * @throws StoreUnavailableException if the value was certainly not written, and never will be
+     */
+    Result write(String key, long expectedModRevision, String value)
+            throws StoreUnavailableException, InterruptedException {
+        long end = environment.clock().millis() + timeoutMillis;
+        long pause = FIRST_PAUSE_MILLIS;
+        while (true) {
+            Result result = attempt(key, expectedModRevision, value);
+            if (result != Result.NOT_KNOWN || environment.clock().millis() + pause > end) {
+                return result;
+            }
+            environment.pause().pause(pause);
+            pause = Math.min(2 * pause, LONGEST_PAUSE_MILLIS);
+        }
+    }
+
+    /** Returns whether an answer was lost, so that a value which is gone now may have been there for a time. */
+    boolean mayHaveTakenEffect() {
+        return mayHaveTakenEffect;
+    }
+
+    private Result attempt(String key, long expectedModRevision, String value) throws StoreUnavailableException {
+        try {
+            if (store.swap(key, expectedModRevision, value).isPresent()) {
+                return Result.WRITTEN;
+            }
+        } catch (StoreUnavailableException e) {
+            if (!mayHaveTakenEffect) {
+                throw e;
+            }
+            return Result.NOT_KNOWN;
+        } catch (StoreException | RuntimeException e) {
+            mayHaveTakenEffect = true;
+            return Result.NOT_KNOWN;
+        }
+        return compare(key, expectedModRevision, value);
+    }
+
+    /** The key has changed, by another writer or by an earlier attempt of this one whose answer was lost. */
+    private Result compare(String key, long expectedModRevision, String value) {
+        try {
+            Optional<StoredValue> now = store.read(key);
+            if (now.map(StoredValue::value).equals(Optional.of(value))) {
+                return Result.WRITTEN;
+            }
+            long modRevision = now.map(StoredValue::modRevision).orElse(0L);
+            return modRevision == expectedModRevision ? Result.NOT_KNOWN : Result.LOST;
+        } catch (StoreException e) {
+            mayHaveTakenEffect = true;
+            return Result.NOT_KNOWN;
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/trefoilledge/operator/DrainCommand.java
@@ -0,0 +1,40 @@
+package org.trefoilledge.operator;
+
+import java.util.List;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.config.Change;
+import org.trefoilledge.platform.SettingsException;
+import org.trefoilledge.platform.StoreException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(
+        name = "drain",
+        description = "Stop sending new work to the upstream of a host. Running requests finish; the host stays"
+                + " drained until --undo.")
+final class DrainCommand extends WriteCommand {
+    @Parameters(paramLabel = "HOST", description = "Id of the host, as in its node's settings.")
+    String host;
+
+    @Option(names = "--undo", description = "End the draining.")
+    boolean undo;
+
+    DrainCommand(Environment environment) {
+        super(environment);
+    }
+
+    @Override
+    Answer answer() throws SettingsException, RejectedException, StoreException, InterruptedException {
+        HostId id = Ids.host(host);
+        return submit(current -> drain(current, id));
+    }
+
+    private List<Change> drain(ConfigHistory current, HostId id) {
+        boolean drained = current.inventory().drainedHosts().contains(id);
+        if (drained == !undo) {
+            return List.of();
+        }
+        return List.of(undo ? new Change.UndrainHost(id) : new Change.DrainHost(id));
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/trefoilledge/operator/StoreCommand.java
@@ -0,0 +1,50 @@
+package org.trefoilledge.operator;
+
+import java.util.List;
+import org.trefoilledge.platform.SettingsException;
+import org.trefoilledge.platform.Store;
+import org.trefoilledge.platform.StoreException;
+import picocli.CommandLine.Option;
+
+/** A command that needs the store. */
+abstract class StoreCommand extends OperatorCommand {
+    @Option(
+            names = "--store",
+            required = true,
+            paramLabel = "URL",
+            description = "An endpoint of the configuration store; repeat it for further endpoints.")
+    List<String> endpoints;
+
+    @Option(
+            names = "--timeout",
+            paramLabel = "SECONDS",
+            defaultValue = "10",
+            description = "How long to try before the outcome counts as not known (default: ${DEFAULT-VALUE}).")
+    int timeoutSeconds;
+
+    StoreCommand(Environment environment) {
+        super(environment);
+    }
+
+    final Store open() throws SettingsException, StoreException {
+        for (String endpoint : endpoints) {
+            if (!endpoint.matches("https?://[^/ ]+/?")) {
+                throw new SettingsException(
+                        "--store: expected a URL such as http://127.0.0.1:2379, but found: " + endpoint);
+            }
+        }
+        if (timeoutSeconds < 1 || timeoutSeconds > 3_600) {
+            throw new SettingsException("--timeout: expected 1 to 3600 seconds, but found: " + timeoutSeconds);
+        }
+        return environment.stores().open(endpoints, Math.min(timeoutMillis(), 5_000));
+    }
+
+    final long timeoutMillis() {
+        return timeoutSeconds * 1_000L;
+    }
+
+    /** Returns the command line that tells what became of an operation. */
+    final String showOperation(String operation) {
+        return "trefoilledge show --operation " + operation + " --store " + String.join(" --store ", endpoints);
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/trefoilledge/operator/StoreOpener.java
@@ -0,0 +1,11 @@
+package org.trefoilledge.operator;
+
+import java.util.List;
+import org.trefoilledge.platform.Store;
+import org.trefoilledge.platform.StoreException;
+
+/** Opens the store at the given endpoints; each call of the store may take {@code timeoutMillis}. */
+@FunctionalInterface
+interface StoreOpener {
+    Store open(List<String> endpoints, long timeoutMillis) throws StoreException;
+}
