Use the store client, and read the key after each lost answer

A store whose every answer to a write is lost left the outcome unknown although a read could tell it. The test for an outage after a lost answer now makes the reads fail as well.

--- a/operator/src/main/java/org/trefoilledge/operator/CertainWrite.java
+++ b/operator/src/main/java/org/trefoilledge/operator/CertainWrite.java
@@ -7,9 +7,9 @@
 import org.trefoilledge.platform.StoredValue;
 
 /**
- * A compare-and-swap that finds out its outcome. While that is not known the same write is sent again: the store
- * takes it only on top of the expected value, so this cannot write twice, and it ends the uncertainty as soon as the
- * store answers.
+ * A compare-and-swap that finds out its outcome. When an answer is lost the key is read; if it still has the expected
+ * value, the same write is sent again. The store takes it only on top of that value, so this cannot write twice, and
+ * no delayed copy of it can come later.
  */
 final class CertainWrite {
     private static final long FIRST_PAUSE_MILLIS = 100;
@@ -69,15 +69,13 @@
             if (!mayHaveTakenEffect) {
                 throw e;
             }
-            return Result.NOT_KNOWN;
         } catch (StoreException | RuntimeException e) {
             mayHaveTakenEffect = true;
-            return Result.NOT_KNOWN;
         }
         return compare(key, expectedModRevision, value);
     }
 
-    /** The key has changed, by another writer or by an earlier attempt of this one whose answer was lost. */
+    /** Reads which value the key has after an attempt that failed, or whose answer was lost. */
     private Result compare(String key, long expectedModRevision, String value) {
         try {
             Optional<StoredValue> now = store.read(key);
--- a/operator/src/main/java/org/trefoilledge/operator/ConfigWriter.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ConfigWriter.java
@@ -16,7 +16,9 @@
 final class ConfigWriter {
     private static final String PREFIX = "config/log/";
     private static final String END = "config/log0";
-    private static final int PAGE_ENTRIES = 64;
+
+    /** The store client accepts responses with this many entries of 1 MB. */
+    private static final int PAGE_ENTRIES = 32;
 
     private final Store store;
     private final Environment environment;
--- a/operator/src/main/java/org/trefoilledge/operator/OperatorMain.java
+++ b/operator/src/main/java/org/trefoilledge/operator/OperatorMain.java
@@ -1,12 +1,14 @@
 package org.trefoilledge.operator;
 
+import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.Base64;
 import java.util.HexFormat;
 import org.trefoilledge.core.Clock;
-import org.trefoilledge.platform.StoreUnavailableException;
+import org.trefoilledge.platform.EtcdSettings;
+import org.trefoilledge.platform.EtcdStore;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Help.Ansi;
@@ -38,19 +40,17 @@
         OperatorLog.configure();
         int exitCode;
         try (HttpNodeClient nodes = new HttpNodeClient()) {
-            exitCode = commandLine(environment(nodes)).execute(arguments);
+            exitCode = commandLine(environment(nodes, System.out, System.err)).execute(arguments);
         }
         System.exit(exitCode);
     }
 
-    private static Environment environment(NodeClient nodes) {
+    static Environment environment(NodeClient nodes, OutputStream out, OutputStream err) {
         SecureRandom random = new SecureRandom();
         return new Environment(
-                new PrintWriter(System.out, true, StandardCharsets.UTF_8),
-                new PrintWriter(System.err, true, StandardCharsets.UTF_8),
-                (endpoints, timeoutMillis) -> {
-                    throw new StoreUnavailableException("no client for the store at " + endpoints);
-                },
+                new PrintWriter(out, true, StandardCharsets.UTF_8),
+                new PrintWriter(err, true, StandardCharsets.UTF_8),
+                (endpoints, timeoutMillis) -> new EtcdStore(new EtcdSettings(endpoints, "operator", timeoutMillis)),
                 nodes,
                 () -> HexFormat.of().formatHex(bytes(random, OPERATION_BYTES)),
                 () -> Base64.getUrlEncoder().withoutPadding().encodeToString(bytes(random, KEY_BYTES)),
--- a/operator/src/main/java/org/trefoilledge/operator/StoreCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/StoreCommand.java
@@ -8,6 +8,9 @@
 
 /** A command that needs the store. */
 abstract class StoreCommand extends OperatorCommand {
+    /** Bounds one call, so that several fit into the time that the operator gives. */
+    private static final long MAX_CALL_MILLIS = 3_000;
+
     @Option(
             names = "--store",
             required = true,
@@ -27,16 +30,19 @@
     }
 
     final Store open() throws SettingsException, StoreException {
+        if (timeoutSeconds < 1 || timeoutSeconds > 3_600) {
+            throw new SettingsException("--timeout: expected 1 to 3600 seconds, but found: " + timeoutSeconds);
+        }
         for (String endpoint : endpoints) {
-            if (!endpoint.matches("https?://[^/ ]+/?")) {
-                throw new SettingsException(
-                        "--store: expected a URL such as http://127.0.0.1:2379, but found: " + endpoint);
+            if (!endpoint.matches("http://[^/ ]+:[0-9]{1,5}")) {
+                throw new SettingsException("--store: expected http://ADDRESS:PORT, but found: " + endpoint);
             }
         }
-        if (timeoutSeconds < 1 || timeoutSeconds > 3_600) {
-            throw new SettingsException("--timeout: expected 1 to 3600 seconds, but found: " + timeoutSeconds);
+        try {
+            return environment.stores().open(endpoints, Math.min(timeoutMillis(), MAX_CALL_MILLIS));
+        } catch (IllegalArgumentException e) {
+            throw new SettingsException("--store: " + e.getMessage());
         }
-        return environment.stores().open(endpoints, Math.min(timeoutMillis(), 5_000));
     }
 
     final long timeoutMillis() {
--- a/operator/src/main/java/org/trefoilledge/operator/StoreOpener.java
+++ b/operator/src/main/java/org/trefoilledge/operator/StoreOpener.java
@@ -4,7 +4,10 @@
 import org.trefoilledge.platform.Store;
 import org.trefoilledge.platform.StoreException;
 
-/** Opens the store at the given endpoints; each call of the store may take {@code timeoutMillis}. */
+/**
+ * Opens the store at the given endpoints; each call of the store may take {@code timeoutMillis}. An endpoint that
+ * cannot be one is an {@link IllegalArgumentException}.
+ */
 @FunctionalInterface
 interface StoreOpener {
     Store open(List<String> endpoints, long timeoutMillis) throws StoreException;
--- a/operator/src/main/java/org/trefoilledge/operator/ZoneResetCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ZoneResetCommand.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.trefoilledge.core.ZoneId;
 import org.trefoilledge.core.config.ConfigCodec;
@@ -70,7 +71,7 @@
         for (JsonNode member : record.path("members")) {
             members.add(member.path("host").asText() + " at "
                     + member.path("address").asText() + ", "
-                    + member.path("state").asText());
+                    + member.path("state").asText().toLowerCase(Locale.ROOT));
         }
         return members;
     }
--- a/operator/src/test/java/org/trefoilledge/operator/WriteOutcomeTest.java
+++ b/operator/src/test/java/org/trefoilledge/operator/WriteOutcomeTest.java
@@ -121,8 +121,11 @@
     void outageAfterALostAnswerIsNotKnown() {
         loseRequests(MemoryStore.Fault.UNAVAILABLE);
         store.swapFaults.addFirst(MemoryStore.Fault.ANSWER_LOST);
+        store.readFaults.add(MemoryStore.Fault.NONE);
+        store.readFaults.addAll(Collections.nCopies(1_000, MemoryStore.Fault.UNAVAILABLE));
         assertThat(first.runWithStore("apply", "@bakery.toml")).isEqualTo(ExitCode.NOT_KNOWN);
         store.swapFaults.clear();
+        store.readFaults.clear();
         assertThat(first.runWithStore("show", "--operation", "2-a2")).isEqualTo(ExitCode.DONE);
     }
 
