--- a/operator/src/main/java/org/trefoilledge/operator/ApplyCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ApplyCommand.java
@@ -32,6 +32,9 @@
             description = "When other revisions came first and touch no item that this file changes, write on top.")
     boolean onTop;
 
+    @Option(names = "--grant-again", description = "Let the file grant keys that were withdrawn before.")
+    boolean grantAgain;
+
     ApplyCommand(Environment environment) {
         super(environment);
     }
@@ -41,6 +44,6 @@
         if (base != null && base < 0) {
             throw new SettingsException("--base: expected a revision of at least 0, but found: " + base);
         }
-        return submit(new ApplyProposal(InventoryFile.read(file), base, onTop));
+        return submit(new ApplyProposal(InventoryFile.read(file), base, onTop, grantAgain));
     }
 }
--- a/operator/src/main/java/org/trefoilledge/operator/ApplyProposal.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ApplyProposal.java
@@ -19,12 +19,14 @@
 
     private final InventoryFile file;
     private final boolean onTop;
+    private final boolean grantAgain;
     private long base;
 
-    ApplyProposal(InventoryFile file, Long base, boolean onTop) {
+    ApplyProposal(InventoryFile file, Long base, boolean onTop, boolean grantAgain) {
         this.file = file;
         this.base = base == null ? UNSET : base;
         this.onTop = onTop;
+        this.grantAgain = grantAgain;
     }
 
     @Override
@@ -46,7 +48,18 @@
         if (base < current.revision() && !own.isEmpty()) {
             checkNotTouched(own, current);
         }
-        return InventoryDiff.changes(current.inventory(), current.inventory().with(own));
+        Inventory after = current.inventory().with(own);
+        checkWithdrawnKeys(current, after);
+        return InventoryDiff.changes(current.inventory(), after);
+    }
+
+    private void checkWithdrawnKeys(ConfigHistory current, Inventory after) throws RejectedException {
+        Set<String> again = grantAgain ? Set.of() : WithdrawnKeys.grantedAgain(current, after);
+        if (!again.isEmpty()) {
+            throw new RejectedException(
+                    "the file grants keys that were withdrawn: " + String.join(", ", again),
+                    List.of("remove their digests from the file, or grant them again with --grant-again"));
+        }
     }
 
     private void checkNotTouched(List<Change> own, ConfigHistory current) throws RejectedException {
--- a/operator/src/main/java/org/trefoilledge/operator/NodeStatus.java
+++ b/operator/src/main/java/org/trefoilledge/operator/NodeStatus.java
@@ -16,6 +16,12 @@
         return json.path(field).asBoolean();
     }
 
+    /** Returns whether a host is this node or one of its members. */
+    boolean knows(String host) {
+        return text("host").equals(host)
+                || json.path("members").findValuesAsText("host").contains(host);
+    }
+
     long revision() {
         return number("revision");
     }
--- a/operator/src/main/java/org/trefoilledge/operator/WithdrawCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/WithdrawCommand.java
@@ -12,7 +12,10 @@
 @Command(
         name = "withdraw",
         description = "Withdraw a key from its organisation.",
-        footer = {"", "Remove the digest from the inventory file as well, or the next apply grants the key again."})
+        footer = {
+            "",
+            "Remove the digest from the inventory file as well: apply rejects a file that would grant it again."
+        })
 final class WithdrawCommand extends WriteCommand {
     @Parameters(
             paramLabel = "DIGEST-OR-KEY-FILE",
--- a/operator/src/test/java/org/trefoilledge/operator/OperatorMainTest.java
+++ b/operator/src/test/java/org/trefoilledge/operator/OperatorMainTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.trefoilledge.core.config.ConfigCodec;
 import org.trefoilledge.core.config.KeyDigest;
 
 /** Shows each command's output to a reviewer. Approved files hold the whole transcript, with exit codes. */
@@ -123,12 +124,17 @@
     }
 
     @Test
-    void drain() {
+    void drain() throws Exception {
         session.runWithStore("apply", "@inventory.toml");
         session.runWithStore("drain", "host-1");
         session.runWithStore("drain", "host-1");
         session.runWithStore("apply", "@inventory.toml");
         session.runWithStore("drain", "host-1", "--undo");
+        String digest = ConfigCodec.digest(
+                session.store.read(ConfigWriter.key(3)).orElseThrow().value());
+        session.nodeAnswers.put("127.0.0.1:8083/status", status("h1", 3).replace("0123456789abcdef", digest));
+        session.runWithStore("drain", "h3", "--node", "127.0.0.1:8083");
+        session.runWithStore("drain", "h2", "--node", "127.0.0.1:8083");
         verify();
     }
 
--- a/operator/src/test/java/org/trefoilledge/operator/WriteOutcomeTest.java
+++ b/operator/src/test/java/org/trefoilledge/operator/WriteOutcomeTest.java
@@ -211,6 +211,19 @@
         verify();
     }
 
+    /** Guards against an old inventory file that silently grants a withdrawn key again. */
+    @Test
+    void fileDoesNotGrantAWithdrawnKeyAgain() {
+        String digest = KeyDigest.of("an-existing-key-of-the-bakery").hex();
+        String keys = "burst = 5\nkey-digests = [\"" + digest + "\"]";
+        first.file("keys.toml", Session.INVENTORY.replace("burst = 5", keys));
+        assertThat(first.runWithStore("apply", "@keys.toml")).isEqualTo(ExitCode.DONE);
+        assertThat(second.runWithStore("withdraw", digest)).isEqualTo(ExitCode.DONE);
+        assertThat(first.runWithStore("apply", "@keys.toml")).isEqualTo(ExitCode.FAILED);
+        assertThat(first.runWithStore("apply", "@keys.toml", "--grant-again")).isEqualTo(ExitCode.DONE);
+        verify();
+    }
+
     /** Guards against digests of a re-encoded entry, which differ when another version wrote it. */
     @Test
     void entryInAnotherLayoutIsChainedByItsStoredBytes() throws Exception {
