--- /dev/null
+++ b/standin/src/main/java/org/trefoilledge/standin/Announcer.java
@@ -0,0 +1,61 @@
+package org.trefoilledge.standin;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Announces the upstream to the node on its host, every second and after each change. */
+final class Announcer {
+    private static final Logger log = LoggerFactory.getLogger(Announcer.class);
+    private static final long INTERVAL_MILLIS = 1_000;
+
+    /** Shorter than the interval, so that announcements do not pile up. */
+    private static final long TIMEOUT_MILLIS = 900;
+
+    private final HttpClient http;
+    private final String node;
+    private final Supplier<ObjectNode> announcement;
+    private volatile String lastResult = "";
+
+    Announcer(HttpClient http, String node, Supplier<ObjectNode> announcement) {
+        this.http = http;
+        this.node = node;
+        this.announcement = announcement;
+    }
+
+    void start(ScheduledThreadPoolExecutor timer) {
+        if (!node.isEmpty()) {
+            var unused = timer.scheduleAtFixedRate(
+                    Timers.guarded(this::announce), 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    void announce() {
+        if (node.isEmpty()) {
+            return;
+        }
+        http.newRequest("http://" + node + "/.trefoilledge/upstream")
+                .method("PUT")
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .body(new StringRequestContent(
+                        "application/json", announcement.get().toString()))
+                .send(this::answered);
+    }
+
+    /** Logs only changes: a node may be down for long. */
+    private void answered(Result result) {
+        String now = result.isSucceeded()
+                ? "status " + result.getResponse().getStatus()
+                : String.valueOf(result.getFailure().getMessage());
+        if (!now.equals(lastResult)) {
+            lastResult = now;
+            log.info("upstream: announcement to the node at {}: {}", node, now);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/trefoilledge/standin/ChildCalls.java
@@ -0,0 +1,58 @@
+package org.trefoilledge.standin;
+
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+
+/** The upstream's own calls to other services, which go through the node on its host. */
+final class ChildCalls {
+    /** Header with the context that ties an own call to the request it belongs to. */
+    static final String CONTEXT_HEADER = "Trefoilledge-Context";
+
+    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+    private static final long MAX_WAIT_MILLIS = 10_000;
+    private static final int DISTINCT_NUMBERS = 1_000;
+
+    private final HttpClient http;
+    private final String node;
+    private final List<String> templates;
+
+    ChildCalls(HttpClient http, String node, List<String> templates) {
+        this.http = http;
+        this.node = node;
+        this.templates = templates;
+    }
+
+    int count() {
+        return templates.size();
+    }
+
+    /** Sends a call and gives its status to the consumer, 0 if there was no response. */
+    void send(int index, Execution execution, long now, IntConsumer status) {
+        String[] parts = templates.get(index).split(" ", 2);
+        String number = Integer.toString(ThreadLocalRandom.current().nextInt(DISTINCT_NUMBERS));
+        String context = execution.exchange().header(CONTEXT_HEADER);
+        Request request = http.newRequest("http://" + node + parts[1].replace("{n}", number))
+                .method(parts[0])
+                .timeout(Math.min(MAX_WAIT_MILLIS, execution.remainingMillis(now)), TimeUnit.MILLISECONDS);
+        if (context != null) {
+            request.headers(headers -> headers.put(CONTEXT_HEADER, context));
+        }
+        request.send(new BufferingResponseListener(MAX_RESPONSE_BYTES) {
+            @Override
+            public void onComplete(Result result) {
+                status.accept(result.isSucceeded() ? result.getResponse().getStatus() : 0);
+            }
+        });
+        execution.child(request);
+    }
+
+    String template(int index) {
+        return templates.get(index);
+    }
+}
--- a/standin/src/main/java/org/trefoilledge/standin/Exchange.java
+++ b/standin/src/main/java/org/trefoilledge/standin/Exchange.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import org.eclipse.jetty.io.EofException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
@@ -83,9 +84,40 @@
         json(e.status(), body.put("error", e.getMessage()).put("code", e.code()).put("message", e.getMessage()));
     }
 
+    /**
+     * Answers and resets the connection after so many bytes of the body, after none of the response if that is 0. A
+     * negative number means never.
+     */
+    void jsonWithReset(int status, byte[] body, long resetAfterBytes) {
+        if (resetAfterBytes < 0 || resetAfterBytes >= body.length) {
+            json(status, body);
+            return;
+        }
+        if (resetAfterBytes == 0) {
+            reset();
+            return;
+        }
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        ByteBuffer part = ByteBuffer.wrap(body, 0, Math.toIntExact(resetAfterBytes));
+        response.write(false, part, Callback.from(this::reset, failure -> reset()));
+    }
+
+    private void reset() {
+        endPoint().closeWithReset();
+        callback.failed(new EofException("the stand-in reset the connection"));
+    }
+
+    /** Returns the connection of a stand-in that observes its connections. */
+    ObservedEndPoint endPoint() {
+        return (ObservedEndPoint)
+                request.getConnectionMetaData().getConnection().getEndPoint();
+    }
+
     /** Closes the connection without a response. */
     void abort() {
         request.getConnectionMetaData().getConnection().getEndPoint().close();
-        callback.failed(new IOException("the stand-in closed the connection"));
+        callback.failed(new EofException("the stand-in closed the connection"));
     }
 }
--- /dev/null
+++ b/standin/src/main/java/org/trefoilledge/standin/StandinMain.java
@@ -0,0 +1,21 @@
+package org.trefoilledge.standin;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Starts a stand-in for an outside system. */
+@Command(
+        name = "trefoilledge-standin",
+        mixinStandardHelpOptions = true,
+        version = "trefoilledge-standin 0.1.0-SNAPSHOT",
+        description = "Runs a stand-in for the platform's store or for an upstream.",
+        subcommands = {StoreCommand.class, UpstreamCommand.class})
+public final class StandinMain {
+    private StandinMain() {}
+
+    /** Runs the command; exits with 0 after a signal, 1 on failure and 2 on a usage error. */
+    public static void main(String[] arguments) {
+        StandinLog.configure();
+        System.exit(new CommandLine(new StandinMain()).execute(arguments));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/trefoilledge/standin/UpstreamAnswer.java
@@ -0,0 +1,68 @@
+package org.trefoilledge.standin;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.Fields;
+
+/** The bodies of the upstream's responses. */
+final class UpstreamAnswer {
+    private static final int MAX_SIZE_BYTES = 16 * 1024 * 1024;
+    private static final String PADDING_FIELD_START = ",\"padding\":\"";
+    private static final String PADDING_FIELD_END = "\"}";
+
+    private UpstreamAnswer() {}
+
+    static ObjectNode error(String message) {
+        return Exchange.MAPPER.createObjectNode().put("error", message);
+    }
+
+    static byte[] bytes(ObjectNode body) {
+        return body.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Returns what was executed, for whom and where, padded to the size that the query asks for. */
+    static byte[] success(UpstreamOptions options, Execution execution) {
+        Exchange exchange = execution.exchange();
+        Fields query = Request.extractQueryParameters(exchange.request());
+        String requestId = requestId(exchange, query);
+        ObjectNode body = Exchange.MAPPER
+                .createObjectNode()
+                .put("host", options.host())
+                .put("service", options.service())
+                .put("method", exchange.method())
+                .put("path", exchange.path())
+                .put("requestId", requestId)
+                .put("idempotencyKey", execution.idempotencyKey())
+                .put("organisation", exchange.header("Trefoilledge-Organisation"))
+                .put("bodyBytes", execution.bodyBytes());
+        return padded(body.toString(), requestId, size(query));
+    }
+
+    private static String requestId(Exchange exchange, Fields query) {
+        String header = exchange.header("Request-Id");
+        return header == null ? query.getValue("id") : header;
+    }
+
+    private static int size(Fields query) {
+        try {
+            String size = query.getValue("size");
+            return size == null ? 0 : Math.min(MAX_SIZE_BYTES, Integer.parseInt(size));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    /** The padding depends on the request, so that parts of two responses cannot be mixed up unnoticed. */
+    private static byte[] padded(String json, String requestId, int size) {
+        byte[] plain = json.getBytes(StandardCharsets.UTF_8);
+        int missing = size - plain.length - PADDING_FIELD_START.length() - PADDING_FIELD_END.length() + 1;
+        if (missing < 0) {
+            return plain;
+        }
+        String unit = Integer.toHexString(String.valueOf(requestId).hashCode()) + ".";
+        String padding = unit.repeat(missing / unit.length() + 1).substring(0, missing);
+        String open = json.substring(0, json.length() - 1);
+        return (open + PADDING_FIELD_START + padding + PADDING_FIELD_END).getBytes(StandardCharsets.UTF_8);
+    }
+}
