--- /dev/null
+++ b/standin/src/test/java/org/trefoilledge/standin/ConfigRaceTest.java
@@ -0,0 +1,107 @@
+package org.trefoilledge.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.trefoilledge.core.config.ConfigCodec;
+import org.trefoilledge.core.config.ConfigLog;
+import org.trefoilledge.platform.AppendResult;
+import org.trefoilledge.platform.ConfigStore;
+import org.trefoilledge.platform.EtcdSettings;
+import org.trefoilledge.platform.EtcdStore;
+import org.trefoilledge.platform.StoreException;
+
+class ConfigRaceTest {
+    private static final int WRITERS = 8;
+    private static final int APPENDS = 12;
+
+    /** Guards against two writers that both believe they got a revision. */
+    @Test
+    void acceptedRevisionsAreUniqueAndTruthful() throws Exception {
+        check(StoreFaults.NONE);
+    }
+
+    /** As above, while a third of the responses to writes are lost and the writers resolve them. */
+    @Test
+    void acceptedRevisionsAreUniqueAndTruthfulWhenResponsesAreLost() throws Exception {
+        check(StoreFaults.NONE.withLoseWriteAnswers(0.33));
+    }
+
+    private static void check(StoreFaults faults) throws Exception {
+        try (StoreStandin standin = StoreStandin.start("127.0.0.1:0", new StoreLimits(100_000, 100_000, 1))) {
+            standin.apply(faults);
+            Map<Long, String> accepted = race(standin);
+            standin.apply(StoreFaults.NONE);
+            assertThat(operations(standin)).isEqualTo(accepted);
+            assertThat(accepted).hasSize(WRITERS * APPENDS);
+        }
+    }
+
+    private static Map<Long, String> race(StoreStandin standin) throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(WRITERS);
+        try {
+            List<Callable<Map<Long, String>>> writers = new ArrayList<>();
+            for (int i = 0; i < WRITERS; i++) {
+                String name = "writer-" + i;
+                writers.add(() -> write(standin, name));
+            }
+            Map<Long, String> all = new HashMap<>();
+            for (Future<Map<Long, String>> writer : threads.invokeAll(writers)) {
+                for (Map.Entry<Long, String> entry : writer.get().entrySet()) {
+                    assertThat(all.put(entry.getKey(), entry.getValue())).isNull();
+                }
+            }
+            return all;
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    private static Map<Long, String> write(StoreStandin standin, String name) throws Exception {
+        Map<Long, String> accepted = new HashMap<>();
+        try (EtcdStore store = new EtcdStore(new EtcdSettings(List.of(standin.endpoint()), name, 10_000))) {
+            ConfigStore config = new ConfigStore(store);
+            while (accepted.size() < APPENDS) {
+                String operation = name + "-" + accepted.size();
+                AppendResult result = append(config, operation);
+                if (result instanceof AppendResult.Accepted won) {
+                    accepted.put(won.revision(), operation);
+                } else {
+                    assertThat(result).isInstanceOf(AppendResult.Taken.class);
+                }
+            }
+        }
+        return accepted;
+    }
+
+    private static AppendResult append(ConfigStore config, String operation) throws Exception {
+        long head = config.head(0);
+        String digest = head == 0 ? "" : ConfigCodec.digest(config.entry(head).orElseThrow());
+        return config.append(ConfigStoreTest.entry(head + 1, operation, digest));
+    }
+
+    /** Returns the operation of each revision, after a check that a node would accept the whole log. */
+    private static Map<Long, String> operations(StoreStandin standin) throws Exception {
+        Map<Long, String> found = new HashMap<>();
+        try (EtcdStore store = new EtcdStore(EtcdSettings.of(List.of(standin.endpoint()), "reader"))) {
+            ConfigLog log = new ConfigLog();
+            for (byte[] encoded : entries(store)) {
+                assertThat(log.offer(encoded)).isEqualTo(ConfigLog.Offer.APPLIED);
+                found.put(log.revision(), ConfigCodec.decode(encoded).operation());
+            }
+        }
+        return found;
+    }
+
+    private static List<byte[]> entries(EtcdStore store) throws StoreException {
+        return new ConfigStore(store).entries(1, 1_000);
+    }
+}
