--- a/standin/src/main/java/org/trefoilledge/standin/StandinMain.java
+++ b/standin/src/main/java/org/trefoilledge/standin/StandinMain.java
@@ -13,7 +13,7 @@
 public final class StandinMain {
     private StandinMain() {}
 
-    /** Runs the command; exits with 0 after a signal, 1 on failure and 2 on a usage error. */
+    /** Runs the command; exits with 1 on failure and 2 on a usage error. */
     public static void main(String[] arguments) {
         StandinLog.configure();
         System.exit(new CommandLine(new StandinMain()).execute(arguments));
--- a/standin/src/main/java/org/trefoilledge/standin/UpstreamCommand.java
+++ b/standin/src/main/java/org/trefoilledge/standin/UpstreamCommand.java
@@ -119,7 +119,7 @@
                 calls);
     }
 
-    /** Runs as a shutdown hook, which SIGTERM triggers; the process exits when it returns. */
+    /** Runs as a shutdown hook, which SIGTERM triggers. Without the halt, the exit code would be that of the signal. */
     private void drain(UpstreamStandin upstream) {
         try {
             boolean finished = upstream.drain(DRAIN_MILLIS);
@@ -127,6 +127,7 @@
                     .getOut()
                     .println("upstream " + host + (finished ? " drained" : " stopped with unfinished requests"));
             spec.commandLine().getOut().flush();
+            Runtime.getRuntime().halt(finished ? 0 : 1);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
