--- /dev/null
+++ b/core/src/test/java/org/trefoilledge/core/limit/WrongfulRefusals.java
@@ -0,0 +1,227 @@
+package org.trefoilledge.core.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.IntUnaryOperator;
+import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.config.Organisation;
+
+/**
+ * Measures wrongful refusals: requests that an exact limiter, which sees the whole fleet's demand at once, would admit.
+ * The baselines get the same requests: static equal shares per node, and one limiter per organisation on one node.
+ */
+final class WrongfulRefusals {
+    static final List<Organisation> ORGANISATIONS = List.of(
+            new Organisation(new OrganisationId("large"), 200, 200, List.of()),
+            new Organisation(new OrganisationId("medium"), 50, 50, List.of()),
+            new Organisation(new OrganisationId("small"), 3, 5, List.of()),
+            new Organisation(new OrganisationId("tight"), 200, 40, List.of()));
+
+    private static final int ZONES = 4;
+    private static final int NODES_PER_ZONE = 4;
+    private static final int NODES = ZONES * NODES_PER_ZONE;
+    /** Longer than the delay of increased shares, so that all buckets are full when the demand begins. */
+    private static final long WARM_UP = 25_000;
+
+    private static final long DEMAND = 40_000;
+    private static final long DEATH_AFTER = 5_000;
+    private static final long TAKEOVER = 12_000;
+    private static final int DYING = 0;
+
+    enum Scenario {
+        ONE_HOST,
+        ONE_ZONE,
+        EVEN,
+        SIX_TIMES,
+        OWNER_DIES,
+        OWNER_DIES_STORE_DOWN,
+        STORE_DOWN,
+        AFTER_START
+    }
+
+    /** Counts for one organisation in one scenario. */
+    static final class Tally {
+        long demand;
+        long rightful;
+        long wrongful;
+        long admitted;
+        /** Requests less than an exact limiter would admit, for an organisation that exceeds its limits. */
+        long unused;
+
+        long staticWrongful;
+        long centralWrongful;
+
+        double percent() {
+            return rightful == 0 ? 0 : 100.0 * wrongful / rightful;
+        }
+
+        double percent(long part) {
+            return rightful == 0 ? 0 : 100.0 * part / rightful;
+        }
+    }
+
+    private final Scenario scenario;
+    private final Random random;
+    private final LimitSimulation simulation;
+    private final long start;
+
+    WrongfulRefusals(Scenario scenario, long seed, LimitSettings settings) {
+        this.scenario = scenario;
+        random = new Random(seed * 31 + 7);
+        simulation = new LimitSimulation(seed, ZONES, NODES_PER_ZONE, ORGANISATIONS, settings, false);
+        start = scenario == Scenario.AFTER_START ? 0 : WARM_UP;
+    }
+
+    Map<OrganisationId, Tally> run() {
+        simulation.storeUp = scenario != Scenario.STORE_DOWN && scenario != Scenario.OWNER_DIES_STORE_DOWN;
+        if (ownerDies()) {
+            simulation.schedule(start + DEATH_AFTER, () -> simulation.crash(DYING, Long.MAX_VALUE));
+        }
+        ORGANISATIONS.forEach(this::demand);
+        simulation.run(start + DEMAND + 1_000);
+        Map<OrganisationId, Tally> tallies = new HashMap<>();
+        ORGANISATIONS.forEach(organisation -> tallies.put(organisation.id(), tally(organisation)));
+        return tallies;
+    }
+
+    int messages() {
+        return simulation.messages;
+    }
+
+    /** Its demand is not within its limits, so which of its requests are refused does not matter. */
+    private boolean overdriven(Organisation organisation) {
+        return scenario == Scenario.SIX_TIMES && organisation.id().value().equals("large");
+    }
+
+    private boolean ownerDies() {
+        return scenario == Scenario.OWNER_DIES || scenario == Scenario.OWNER_DIES_STORE_DOWN;
+    }
+
+    /** Random requests at 0.6 of the rate, and bursts of half the depth which add 0.2 of the rate. */
+    private void demand(Organisation organisation) {
+        int home = 1 + random.nextInt(NODES - 1);
+        int homeZone = home / NODES_PER_ZONE * NODES_PER_ZONE;
+        IntUnaryOperator place = i -> switch (scenario) {
+            case ONE_HOST, AFTER_START -> home;
+            case ONE_ZONE -> homeZone + random.nextInt(NODES_PER_ZONE);
+            default -> random.nextInt(NODES);
+        };
+        double factor = overdriven(organisation) ? 10 : 1;
+        double gap = 1_000 / (0.6 * factor * organisation.rate());
+        for (double at = start; at < start + DEMAND; at += -gap * Math.log(1 - random.nextDouble())) {
+            request(organisation, place.applyAsInt(0), (long) at);
+        }
+        int size = (int) Math.max(1, Math.floor(organisation.burst() / 2));
+        double burstGap = 1_000 * size / (0.2 * organisation.rate());
+        for (double at = start + burstGap * random.nextDouble(); at < start + DEMAND; at += burstGap) {
+            for (int i = 0; i < size; i++) {
+                request(organisation, place.applyAsInt(0), (long) at + random.nextInt(5));
+            }
+        }
+    }
+
+    /** Callers of a dead host connect to the next one. */
+    private void request(Organisation organisation, int node, long at) {
+        boolean dead = ownerDies() && node == DYING && at >= start + DEATH_AFTER;
+        simulation.request(organisation.id(), dead ? node + 1 : node, at);
+    }
+
+    private Tally tally(Organisation organisation) {
+        List<LimitSimulation.Request> requests = new ArrayList<>(simulation.requests.stream()
+                .filter(request -> request.organisation.equals(organisation.id()))
+                .toList());
+        requests.sort((a, b) -> Long.compare(a.at, b.at));
+        double full = start == 0 ? 0 : 1;
+        double burst = organisation.burst();
+        BucketOracle exact = new BucketOracle(burst * full, start);
+        BucketOracle central = new BucketOracle(burst * full, start);
+        List<BucketOracle> statics = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            statics.add(new BucketOracle(burst / NODES * full, start));
+        }
+        Tally tally = new Tally();
+        for (LimitSimulation.Request request : requests) {
+            tally.demand++;
+            tally.admitted += request.admitted ? 1 : 0;
+            boolean byStatic = statics.get(request.node).take(organisation.rate() / NODES, burst / NODES, request.at);
+            boolean byCentral = !centralDown(request.at) && central.take(organisation.rate(), burst, request.at);
+            if (exact.take(organisation.rate(), burst, request.at)) {
+                tally.rightful++;
+                tally.wrongful += request.admitted ? 0 : 1;
+                tally.staticWrongful += byStatic ? 0 : 1;
+                tally.centralWrongful += byCentral ? 0 : 1;
+            }
+        }
+        if (overdriven(organisation)) {
+            tally.unused = Math.max(0, tally.rightful - tally.admitted);
+            tally.wrongful = 0;
+        }
+        return tally;
+    }
+
+    private boolean centralDown(long at) {
+        long death = start + DEATH_AFTER;
+        return ownerDies() && at >= death && (!simulation.storeUp || at < death + TAKEOVER);
+    }
+
+    /** Runs a scenario with several seeds and returns the sums. */
+    static Map<OrganisationId, Tally> run(Scenario scenario, int seeds, LimitSettings settings, long[] messages) {
+        Map<OrganisationId, Tally> sums = new HashMap<>();
+        for (int seed = 1; seed <= seeds; seed++) {
+            WrongfulRefusals run = new WrongfulRefusals(scenario, seed, settings);
+            run.run().forEach((id, tally) -> add(sums.computeIfAbsent(id, i -> new Tally()), tally));
+            messages[0] += run.messages();
+        }
+        return sums;
+    }
+
+    private static void add(Tally sum, Tally tally) {
+        sum.demand += tally.demand;
+        sum.rightful += tally.rightful;
+        sum.wrongful += tally.wrongful;
+        sum.admitted += tally.admitted;
+        sum.unused += tally.unused;
+        sum.staticWrongful += tally.staticWrongful;
+        sum.centralWrongful += tally.centralWrongful;
+    }
+
+    static String line(Scenario scenario, Organisation organisation, Tally tally) {
+        return String.format(
+                Locale.ROOT,
+                "| %s | %s | %d | %d | %.2f | %.2f | %.2f | %.2f |",
+                scenario,
+                organisation.id(),
+                tally.demand,
+                tally.rightful,
+                tally.percent(),
+                tally.percent(tally.unused),
+                tally.percent(tally.staticWrongful),
+                tally.percent(tally.centralWrongful));
+    }
+
+    /** Measures all scenarios: the arguments are the number of seeds and, optionally, the loan time in ms. */
+    public static void main(String[] args) {
+        int seeds = Integer.parseInt(args[0]);
+        LimitSettings usual = LimitSettings.DEFAULT;
+        long loanMillis = args.length > 1 ? Long.parseLong(args[1]) : usual.loanMillis();
+        LimitSettings settings =
+                new LimitSettings(loanMillis, usual.increaseDelayMillis(), usual.waitMillis(), usual.otherZones());
+        System.out.println(
+                "| scenario | organisation | demand | rightful | wrongful % | unused % | static % | one limiter % |");
+        for (Scenario scenario : Scenario.values()) {
+            long[] messages = new long[1];
+            Map<OrganisationId, Tally> tallies = run(scenario, seeds, settings, messages);
+            Tally sum = new Tally();
+            for (Organisation organisation : ORGANISATIONS) {
+                Tally tally = tallies.get(organisation.id());
+                System.out.println(line(scenario, organisation, tally));
+                add(sum, tally);
+            }
+            System.out.printf(Locale.ROOT, "%s total %.3f%%, %d messages%n", scenario, sum.percent(), messages[0]);
+        }
+    }
+}
