Settle loans early

Cause: tokens that were spent or are not needed occupy depth until the loan expires, so bursts and small depths find no tokens. Change: a borrower tells the owner which loans it has finished with and what is left of them. The owner releases the depth only if it still counts the loan as lent, so late, lost and repeated settlements have no effect.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -14,6 +14,12 @@
     private static final double BATCH_PART_OF_LOAN = 0.25;
     /** How long the demand of the next moments must be covered while a loan request is under way. */
     private static final double LEAD_MILLIS = 30;
+    /** Settlements wait this long for a loan request to the same owner that can carry them. */
+    private static final long SETTLE_DELAY_MILLIS = 30;
+    /** A loan that expires within this time is given back, so that the owner hears of it in time. */
+    private static final long GIVE_BACK_MILLIS = 60;
+    /** A loan is kept at least this long, because requests may still be waiting for it. */
+    private static final long KEEP_MILLIS = 40;
     /** How long a source that did not answer is left alone. */
     private static final long FAILED_BACKOFF_MILLIS = 500;
 
@@ -94,29 +100,42 @@
             requests = 0;
             tickedAt = latest;
         }
-        long missing = missing();
-        if (missing > 0) {
-            borrow(missing, sink);
+        double perMilli = Math.min(demand.perMilli(), ratePerMilli);
+        long urgent = waiting.count(latest) * TOKEN;
+        long low = urgent + prefetched(perMilli);
+        long batch = low > urgent ? batch(perMilli) : 0;
+        purse.giveBack(low + batch, latest + GIVE_BACK_MILLIS, latest + settings.loanMillis() - KEEP_MILLIS, latest);
+        long held = purse.balance(latest) + expectedMicros;
+        if (held < low) {
+            borrow(low + batch - held, sink);
         }
-        active = !demand.idle() || expectedMicros > 0 || purse.balance(latest) > 0;
+        boolean settling = settle(sink);
+        active = !demand.idle() || expectedMicros > 0 || purse.balance(latest) > 0 || settling;
         return active;
     }
 
-    private long missing() {
-        long held = purse.balance(latest) + expectedMicros;
-        long urgent = waiting.count(latest) * TOKEN;
-        double perMilli = Math.min(demand.perMilli(), ratePerMilli);
-        double usesPerLoan = perMilli * settings.loanMillis();
-        if (usesPerLoan < LEAST_USES_PER_LOAN) {
-            return urgent - held;
+    /** Returns what must be held so that requests rarely find no token while a loan request is under way. */
+    private long prefetched(double perMilli) {
+        if (perMilli * settings.loanMillis() < LEAST_USES_PER_LOAN) {
+            return 0;
         }
         double lead = perMilli * LEAD_MILLIS;
-        long low = urgent + (long) ((lead + 2 * Math.sqrt(lead)) * TOKEN);
-        if (held >= low) {
-            return 0;
+        return (long) ((lead + 2 * Math.sqrt(lead)) * TOKEN);
+    }
+
+    private long batch(double perMilli) {
+        return (long) Math.ceil(perMilli * settings.loanMillis() * BATCH_PART_OF_LOAN) * TOKEN;
+    }
+
+    private boolean settle(AskSink sink) {
+        boolean waits = false;
+        for (LoanSource source : sources) {
+            if (source.hasSettled(SETTLE_DELAY_MILLIS, latest)) {
+                sink.ask(this, source, 0);
+            }
+            waits |= source.hasSettled(0, latest);
         }
-        long batch = (long) Math.ceil(usesPerLoan * BATCH_PART_OF_LOAN) * TOKEN;
-        return low + batch - held;
+        return waits;
     }
 
     private void borrow(long missing, AskSink sink) {
@@ -153,11 +172,11 @@
         return expected >= TOKEN ? expected / TOKEN * TOKEN : 0;
     }
 
-    synchronized void answered(LoanSource source, long wanted, LoanGrant grant, long sentAt, long now) {
+    synchronized void answered(LoanSource source, long askId, long wanted, LoanGrant grant, long sentAt, long now) {
         source.answered(wanted, grant, now);
         expectedMicros = Math.max(0, expectedMicros - wanted);
         if (grant.grantedMicros() > 0) {
-            purse.add(grant.grantedMicros(), sentAt + settings.loanMillis());
+            purse.add(new LoanPurse.Loan(source, askId, grant.grantedMicros(), sentAt + settings.loanMillis()));
         }
     }
 
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/limit/Borrower.java
@@ -0,0 +1,7 @@
+package org.trefoilledge.core.limit;
+
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
+
+/** One run of a node that borrows, as the connection of its requests states it. */
+public record Borrower(HostId host, Incarnation incarnation) {}
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanAsk.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanAsk.java
@@ -1,5 +1,6 @@
 package org.trefoilledge.core.limit;
 
+import java.util.List;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.ZoneId;
 
@@ -8,6 +9,14 @@
  *
  * @param id identifies the request within one run of the node, for {@link Wallet#answered} and {@link Wallet#failed}
  * @param zone zone of the shard
- * @param wantedMicros wanted tokens in millionths; an owner grants whole tokens if this is a whole number of tokens
+ * @param wantedMicros wanted tokens in millionths; an owner grants whole tokens if this is a whole number of tokens;
+ *     0 if the request only carries settlements, which needs no response
+ * @param settled earlier loans of the same organisation and shard that the borrower has finished with
  */
-public record LoanAsk(long id, OrganisationId organisation, ZoneId zone, int shard, long wantedMicros) {}
+public record LoanAsk(
+        long id, OrganisationId organisation, ZoneId zone, int shard, long wantedMicros, List<LoanSettlement> settled) {
+    /** Copies the settlements. */
+    public LoanAsk {
+        settled = List.copyOf(settled);
+    }
+}
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanBook.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanBook.java
@@ -4,8 +4,11 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.config.Organisation;
 
@@ -14,9 +17,13 @@
  * thread-safe. Amounts are tokens in millionths, times are milliseconds.
  */
 public final class LoanBook {
+    /** Stands for the borrower of loans that will not be settled. */
+    private static final Borrower UNKNOWN = new Borrower(new HostId("unknown"), new Incarnation(0));
+
     private final LimitSettings settings;
     private final Map<OrganisationId, Share> shares = new HashMap<>();
     private final Map<Integer, Long> lendsFrom = new HashMap<>();
+    private long unsettled;
 
     /** One organisation's share at each shard that holds a part of its limit. */
     private static final class Share {
@@ -100,23 +107,38 @@
     }
 
     /**
-     * Lends tokens. The caller checks this node's authority over the shard before, and sends the response after this
-     * call. A wanted amount that is a whole number of tokens is granted in whole tokens, because a fraction would
-     * usually expire unused at the borrower.
+     * Takes the settlements of a request and lends tokens. The caller checks this node's authority over the shard
+     * before, and sends the response after this call. A wanted amount that is a whole number of tokens is granted in
+     * whole tokens.
      */
+    public LoanGrant lend(Borrower borrower, LoanAsk ask, long now) {
+        return lend(borrower, ask.id(), ask.organisation(), ask.shard(), ask.wantedMicros(), ask.settled(), now);
+    }
+
+    /** As {@link #lend(Borrower, LoanAsk, long)}, for a loan that will not be settled. */
     public LoanGrant lend(OrganisationId organisation, int shard, long wantedMicros, long now) {
+        return lend(UNKNOWN, ++unsettled, organisation, shard, wantedMicros, List.of(), now);
+    }
+
+    private LoanGrant lend(
+            Borrower borrower,
+            long askId,
+            OrganisationId organisation,
+            int shard,
+            long wantedMicros,
+            List<LoanSettlement> settled,
+            long now) {
         Share share = shares.get(organisation);
         Long from = lendsFrom.get(shard);
-        if (share == null || from == null || !share.rates.containsKey(shard) || wantedMicros <= 0) {
+        if (share == null || from == null || !share.rates.containsKey(shard) || wantedMicros < 0) {
             return new LoanGrant(0, settings.holdMillis());
         }
         if (now < from) {
             return new LoanGrant(0, from - now);
         }
-        long rate = share.rates.get(shard).at(now);
-        long burst = share.bursts.get(shard).at(now);
-        return share.buckets
-                .computeIfAbsent(shard, s -> new ShardBucket(from))
-                .lend(wantedMicros, rate, burst, settings.holdMillis(), now);
+        ShardBucket bucket = share.buckets.computeIfAbsent(shard, s -> new ShardBucket(from));
+        bucket.advance(share.rates.get(shard).at(now), share.bursts.get(shard).at(now), now);
+        settled.forEach(settlement -> bucket.settle(borrower, settlement));
+        return bucket.lend(borrower, askId, wantedMicros, settings.holdMillis(), now);
     }
 }
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanPurse.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanPurse.java
@@ -6,8 +6,22 @@
 final class LoanPurse {
     private static final int INITIAL_CAPACITY = 8;
 
-    private long[] micros = new long[INITIAL_CAPACITY];
-    private long[] validUntil = new long[INITIAL_CAPACITY];
+    /** What is left of one loan. */
+    static final class Loan {
+        final LoanSource source;
+        final long askId;
+        final long validUntil;
+        long micros;
+
+        Loan(LoanSource source, long askId, long micros, long validUntil) {
+            this.source = source;
+            this.askId = askId;
+            this.micros = micros;
+            this.validUntil = validUntil;
+        }
+    }
+
+    private Loan[] loans = new Loan[INITIAL_CAPACITY];
     private int size;
     private long balance;
 
@@ -17,25 +31,21 @@
         return balance;
     }
 
-    /** Adds a loan. */
-    void add(long amount, long until) {
-        if (size == micros.length) {
-            micros = Arrays.copyOf(micros, size * 2);
-            validUntil = Arrays.copyOf(validUntil, size * 2);
+    void add(Loan loan) {
+        if (size == loans.length) {
+            loans = Arrays.copyOf(loans, size * 2);
         }
         int at = size;
-        while (at > 0 && validUntil[at - 1] > until) {
-            micros[at] = micros[at - 1];
-            validUntil[at] = validUntil[at - 1];
+        while (at > 0 && loans[at - 1].validUntil > loan.validUntil) {
+            loans[at] = loans[at - 1];
             at--;
         }
-        micros[at] = amount;
-        validUntil[at] = until;
+        loans[at] = loan;
         size++;
-        balance += amount;
+        balance += loan.micros;
     }
 
-    /** Takes one token from the loans that expire first, if there is a whole one. */
+    /** Takes one token from the loans that expire first, if there is a whole one. Settles loans that are spent. */
     boolean take(long now) {
         expire(now);
         if (balance < ShareMap.TOKEN_MICROS) {
@@ -43,23 +53,49 @@
         }
         long missing = ShareMap.TOKEN_MICROS;
         balance -= missing;
-        int emptied = 0;
+        int spent = 0;
         while (missing > 0) {
-            long part = Math.min(missing, micros[emptied]);
-            micros[emptied] -= part;
+            Loan loan = loans[spent];
+            long part = Math.min(missing, loan.micros);
+            loan.micros -= part;
             missing -= part;
-            if (micros[emptied] == 0) {
-                emptied++;
+            if (loan.micros == 0) {
+                loan.source.settle(loan.askId, 0, now);
+                spent++;
             }
         }
-        dropFirst(emptied);
+        dropFirst(spent);
         return true;
     }
 
+    /**
+     * Gives back loans that are not needed, and the rest of loans that expire soon.
+     *
+     * @param keep tokens to keep, in millionths
+     * @param soon loans that expire before this time are given back
+     * @param settled loans that expire after this time are too young to be given back
+     */
+    void giveBack(long keep, long soon, long settled, long now) {
+        expire(now);
+        int kept = 0;
+        for (int i = 0; i < size; i++) {
+            Loan loan = loans[i];
+            boolean surplus = loan.validUntil <= settled && balance - loan.micros >= keep;
+            if (loan.validUntil <= soon || surplus) {
+                balance -= loan.micros;
+                loan.source.settle(loan.askId, loan.micros, now);
+            } else {
+                loans[kept++] = loan;
+            }
+        }
+        Arrays.fill(loans, kept, size, null);
+        size = kept;
+    }
+
     private void expire(long now) {
         int expired = 0;
-        while (expired < size && validUntil[expired] <= now) {
-            balance -= micros[expired];
+        while (expired < size && loans[expired].validUntil <= now) {
+            balance -= loans[expired].micros;
             expired++;
         }
         dropFirst(expired);
@@ -69,8 +105,8 @@
         if (count == 0) {
             return;
         }
+        System.arraycopy(loans, count, loans, 0, size - count);
+        Arrays.fill(loans, size - count, size, null);
         size -= count;
-        System.arraycopy(micros, count, micros, 0, size);
-        System.arraycopy(validUntil, count, validUntil, 0, size);
     }
 }
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanSource.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanSource.java
@@ -1,5 +1,7 @@
 package org.trefoilledge.core.limit;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.trefoilledge.core.ZoneId;
 
 /** What a borrower knows about one shard that holds a part of an organisation's limit. Not thread-safe. */
@@ -12,6 +14,8 @@
     private long spareAt;
     private long notBefore;
     private boolean asked;
+    private List<LoanSettlement> settled = new ArrayList<>();
+    private long settledAt;
 
     LoanSource(ZoneId zone, int shard, long rate, long burst, long now) {
         this.zone = zone;
@@ -34,6 +38,26 @@
         return Math.min(burst, spare + (long) gained);
     }
 
+    /** Notes that nothing more of the loan will be spent, for the next message to the owner. */
+    void settle(long askId, long unusedMicros, long now) {
+        if (settled.isEmpty()) {
+            settledAt = now;
+        }
+        settled.add(new LoanSettlement(askId, unusedMicros));
+        spare = Math.min(burst, spare + unusedMicros);
+    }
+
+    /** Returns whether settlements have waited for the given time. */
+    boolean hasSettled(long waitMillis, long now) {
+        return !settled.isEmpty() && now - settledAt >= waitMillis;
+    }
+
+    List<LoanSettlement> takeSettled() {
+        List<LoanSettlement> taken = settled;
+        settled = new ArrayList<>();
+        return taken;
+    }
+
     void asked() {
         asked = true;
     }
--- a/core/src/main/java/org/trefoilledge/core/limit/ShardBucket.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/ShardBucket.java
@@ -1,6 +1,7 @@
 package org.trefoilledge.core.limit;
 
-import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 
 /**
  * One organisation's bucket at one shard. Tokens in the bucket and tokens lent within the hold time never exceed the
@@ -11,9 +12,15 @@
     /** Beyond this gap the product of rate and time could overflow, so it is computed in floating point. */
     private static final long EXACT_GAP_MILLIS = 60_000;
 
+    private record Key(Borrower borrower, long askId) {}
+
     private record Loan(long micros, long heldUntil) {}
 
-    private final ArrayDeque<Loan> loans = new ArrayDeque<>();
+    /** In the order of their grants, which is also the order in which they are released. */
+    private final LinkedHashMap<Key, Loan> loans = new LinkedHashMap<>();
+
+    private long rate;
+    private long burst;
     private long level;
     private long lent;
     private long remainder;
@@ -24,9 +31,12 @@
         refilledAt = emptyAt;
     }
 
-    /** Deducts up to the wanted amount and counts it as lent for the hold time. */
-    LoanGrant lend(long wanted, long rate, long burst, long hold, long now) {
-        advance(rate, burst, now);
+    /** Deducts up to the wanted amount and counts it as lent for the hold time; {@link #advance} comes first. */
+    LoanGrant lend(Borrower borrower, long askId, long wanted, long hold, long now) {
+        Key key = new Key(borrower, askId);
+        if (wanted == 0 || loans.containsKey(key)) {
+            return new LoanGrant(0, 0);
+        }
         long granted = Math.min(wanted, level);
         if (granted < wanted && wanted % ShareMap.TOKEN_MICROS == 0) {
             granted -= granted % ShareMap.TOKEN_MICROS;
@@ -34,21 +44,42 @@
         if (granted > 0) {
             level -= granted;
             lent += granted;
-            loans.addLast(new Loan(granted, now + hold));
+            loans.put(key, new Loan(granted, now + hold));
+        }
+        return new LoanGrant(granted, granted < wanted ? retryAfter(wanted - granted, hold) : 0);
+    }
+
+    /**
+     * Ends a loan early: spent tokens no longer occupy depth, unused ones return to the bucket. A loan that has been
+     * released by time is unknown here, so a late or repeated settlement has no effect.
+     */
+    void settle(Borrower borrower, LoanSettlement settlement) {
+        Loan loan = loans.remove(new Key(borrower, settlement.askId()));
+        if (loan != null) {
+            lent -= loan.micros();
+            long unused = Math.max(0, Math.min(settlement.unusedMicros(), loan.micros()));
+            level = Math.max(0, Math.min(level + unused, burst - lent));
         }
-        return new LoanGrant(granted, granted < wanted ? retryAfter(wanted - granted, rate, burst, hold, now) : 0);
     }
 
     /** Refills up to the given time and releases loans that no borrower can spend any more. */
-    void advance(long rate, long burst, long now) {
-        refill(rate, now);
-        while (!loans.isEmpty() && now - loans.peekFirst().heldUntil() >= 0) {
-            lent -= loans.pollFirst().micros();
+    void advance(long currentRate, long currentBurst, long now) {
+        rate = currentRate;
+        burst = currentBurst;
+        refill(now);
+        Iterator<Loan> oldest = loans.values().iterator();
+        while (oldest.hasNext()) {
+            Loan loan = oldest.next();
+            if (now < loan.heldUntil()) {
+                break;
+            }
+            lent -= loan.micros();
+            oldest.remove();
         }
         level = Math.max(0, Math.min(level, burst - lent));
     }
 
-    private void refill(long rate, long now) {
+    private void refill(long now) {
         long elapsed = now - refilledAt;
         if (elapsed <= 0) {
             return;
@@ -63,12 +94,9 @@
         remainder = gained % MILLIS_PER_SECOND;
     }
 
-    private long retryAfter(long missing, long rate, long burst, long hold, long now) {
+    private long retryAfter(long missing, long hold) {
         long useful = Math.min(missing, Math.max(Math.min(ShareMap.TOKEN_MICROS, burst), burst / 4));
         long lacking = Math.max(0, useful - level);
-        long filling = rate == 0 ? hold : Math.min(hold, lacking * MILLIS_PER_SECOND / rate + 1);
-        boolean depthIsLent = burst - lent < useful;
-        long release = depthIsLent && !loans.isEmpty() ? loans.peekFirst().heldUntil() - now : 0;
-        return Math.max(1, Math.max(filling, release));
+        return Math.max(1, rate == 0 ? hold : Math.min(hold, lacking * MILLIS_PER_SECOND / rate + 1));
     }
 }
--- a/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
@@ -128,8 +128,10 @@
 
     private LoanAsk ask(Account account, LoanSource source, long wanted, long now) {
         long id = nextId++;
-        pending.put(id, new Pending(account, source, wanted, now));
-        return new LoanAsk(id, account.organisation, source.zone, source.shard, wanted);
+        if (wanted > 0) {
+            pending.put(id, new Pending(account, source, wanted, now));
+        }
+        return new LoanAsk(id, account.organisation, source.zone, source.shard, wanted, source.takeSettled());
     }
 
     /** Oldest requests come first, so the scan ends at the first one that may still be answered. */
@@ -149,7 +151,7 @@
     public void answered(long askId, LoanGrant grant, long now) {
         Pending ask = pending.remove(askId);
         if (ask != null) {
-            ask.account().answered(ask.source(), ask.wanted(), grant, ask.sentAt(), now);
+            ask.account().answered(ask.source(), askId, ask.wanted(), grant, ask.sentAt(), now);
         }
     }
 
--- a/core/src/test/java/org/trefoilledge/core/limit/LimitSimulation.java
+++ b/core/src/test/java/org/trefoilledge/core/limit/LimitSimulation.java
@@ -11,6 +11,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.ZoneId;
 import org.trefoilledge.core.config.Organisation;
@@ -63,6 +65,10 @@
             start();
         }
 
+        Borrower borrower() {
+            return new Borrower(new HostId("host-" + index), new Incarnation(run));
+        }
+
         /** Clocks only run slow here, because an owner's fast clock would fill its buckets faster than the rate. */
         long clock() {
             return offset + now - (long) (now * drift);
@@ -220,7 +226,7 @@
         }
         deliver(from, to, () -> {
             if (now < to.authorityUntil && owner.get(ask.zone())[ask.shard()] == to.index) {
-                LoanGrant grant = to.book.lend(ask.organisation(), ask.shard(), ask.wantedMicros(), to.clock());
+                LoanGrant grant = to.book.lend(from.borrower(), ask, to.clock());
                 deliver(to, from, () -> answered(from, ask, grant));
             }
         });
