Limit prefetched tokens to a part of the burst

Cause: with evenly spread callers every node prefetches a few tokens, which together are most of a small burst. Ruled out: hold time, since settled loans already release depth. Change: all nodes together prefetch at most a quarter of the burst, each in proportion to its demand.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.config.Organisation;
 
 /**
  * One organisation at one borrower: its borrowed tokens, its demand and the shards to borrow from. Requests and the
@@ -14,6 +15,8 @@
     private static final double BATCH_PART_OF_LOAN = 0.25;
     /** How long the demand of the next moments must be covered while a loan request is under way. */
     private static final double LEAD_MILLIS = 30;
+    /** All nodes together prefetch at most this part of the burst, so that the rest is left for bursts. */
+    private static final double PREFETCHED_PART_OF_BURST = 0.25;
     /** Settlements wait this long for a loan request to the same owner that can carry them. */
     private static final long SETTLE_DELAY_MILLIS = 30;
     /** A loan that expires within this time is given back, so that the owner hears of it in time. */
@@ -34,6 +37,7 @@
     private int firstOwn;
     private int ownCount;
     private double ratePerMilli;
+    private double burst;
     private long requests;
     private long expectedMicros;
     private long tickedAt;
@@ -49,7 +53,7 @@
     }
 
     /** Sets the sources, those of the own zone first. Sources that did not change keep their state. */
-    synchronized void configure(List<LoanSource> wanted, int own, int start, double rate) {
+    synchronized void configure(List<LoanSource> wanted, int own, int start, Organisation limits) {
         boolean same = wanted.size() == sources.size();
         for (int i = 0; same && i < wanted.size(); i++) {
             same = wanted.get(i).sameAs(sources.get(i));
@@ -60,7 +64,8 @@
         }
         ownCount = own;
         firstOwn = start;
-        ratePerMilli = rate / 1_000;
+        ratePerMilli = limits.rate() / 1_000;
+        burst = limits.burst();
     }
 
     /**
@@ -102,8 +107,9 @@
         }
         double perMilli = Math.min(demand.perMilli(), ratePerMilli);
         long urgent = waiting.count(latest) * TOKEN;
-        long low = urgent + prefetched(perMilli);
-        long batch = low > urgent ? batch(perMilli) : 0;
+        long most = mostPrefetched(perMilli);
+        long low = urgent + Math.min(most, prefetched(perMilli));
+        long batch = low > urgent ? Math.min(urgent + most - low, batch(perMilli)) : 0;
         purse.giveBack(low + batch, latest + GIVE_BACK_MILLIS, latest + settings.loanMillis() - KEEP_MILLIS, latest);
         long held = purse.balance(latest) + expectedMicros;
         if (held < low) {
@@ -123,6 +129,12 @@
         return (long) ((lead + 2 * Math.sqrt(lead)) * TOKEN);
     }
 
+    /** This node's part of what all nodes may prefetch, by its part of the rate; nothing if it is less than a token. */
+    private long mostPrefetched(double perMilli) {
+        double tokens = PREFETCHED_PART_OF_BURST * burst * perMilli / ratePerMilli;
+        return (long) Math.floor(tokens) * TOKEN;
+    }
+
     private long batch(double perMilli) {
         return (long) Math.ceil(perMilli * settings.loanMillis() * BATCH_PART_OF_LOAN) * TOKEN;
     }
--- a/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
@@ -86,7 +86,7 @@
             }
         }
         int start = (int) Math.floorMod(seed ^ organisation.id().hashCode(), Math.max(1, sources.size()));
-        account.configure(sources, count, start, organisation.rate());
+        account.configure(sources, count, start, organisation);
     }
 
     /** Takes one token for a request. Does not block; a request of an unknown organisation gets none. */
