--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -113,7 +113,7 @@
         purse.giveBack(low + batch, latest + GIVE_BACK_MILLIS, latest + settings.loanMillis() - KEEP_MILLIS, latest);
         long held = purse.balance(latest) + expectedMicros;
         if (held < low) {
-            borrow(low + urgent + batch - held, sink);
+            borrow(low + batch - held, sink);
         }
         boolean settling = settle(sink);
         active = !demand.idle() || expectedMicros > 0 || purse.balance(latest) > 0 || settling;
