Start each round of loan requests at another shard

Cause: nodes walk through the shards in the same order and find those empty that others have just asked, so a burst needs more rounds than a request can wait. Change: a generator per organisation and node chooses the first shard of each round, in the own zone and in the others.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -26,6 +26,9 @@
     /** How long a source that did not answer is left alone. */
     private static final long FAILED_BACKOFF_MILLIS = 500;
 
+    /** Multiplier of a linear congruential generator modulo 2^64, which spreads the rounds over the shards. */
+    private static final long LEAP = 6364136223846793005L;
+
     private static final long TOKEN = ShareMap.TOKEN_MICROS;
 
     final OrganisationId organisation;
@@ -34,7 +37,7 @@
     private final DemandMeter demand = new DemandMeter();
     private final WaitingCount waiting;
     private List<LoanSource> sources = List.of();
-    private int firstOwn;
+    private long round;
     private int ownCount;
     private double ratePerMilli;
     private double burst;
@@ -53,7 +56,7 @@
     }
 
     /** Sets the sources, those of the own zone first. Sources that did not change keep their state. */
-    synchronized void configure(List<LoanSource> wanted, int own, int start, Organisation limits) {
+    synchronized void configure(List<LoanSource> wanted, int own, long start, Organisation limits) {
         boolean same = wanted.size() == sources.size();
         for (int i = 0; same && i < wanted.size(); i++) {
             same = wanted.get(i).sameAs(sources.get(i));
@@ -63,7 +66,7 @@
             expectedMicros = 0;
         }
         ownCount = own;
-        firstOwn = start;
+        round ^= start;
         ratePerMilli = limits.rate() / 1_000;
         burst = limits.burst();
     }
@@ -153,6 +156,7 @@
     private void borrow(long missing, AskSink sink) {
         long left = missing;
         int count = sources.size();
+        round = LEAP * round + 1;
         for (int i = 0; i < count && left > 0; i++) {
             LoanSource source = sources.get(index(i, count));
             long expected = source.available(latest) ? source.expected(latest) : 0;
@@ -167,13 +171,16 @@
         }
     }
 
-    /** Own zone first; within it and within the others the nodes start at different sources. */
+    /**
+     * Own zone first; within it and within the others every round starts elsewhere, because nodes that need tokens at
+     * the same time would otherwise compete for the same shards.
+     */
     private int index(int i, int count) {
         if (i < ownCount) {
-            return (firstOwn + i) % ownCount;
+            return (int) Math.floorMod((round >>> 33) + i, ownCount);
         }
         int others = count - ownCount;
-        return ownCount + (firstOwn + i - ownCount) % others;
+        return ownCount + (int) Math.floorMod((round >>> 40) + i, others);
     }
 
     private static long wanted(long left, long expected) {
--- a/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
@@ -85,7 +85,7 @@
                 sources.add(new LoanSource(zone, shard, rate, burst, now));
             }
         }
-        int start = (int) Math.floorMod(seed ^ organisation.id().hashCode(), Math.max(1, sources.size()));
+        long start = seed ^ organisation.id().hashCode();
         account.configure(sources, count, start, organisation);
     }
 
