--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.config.Organisation;
 
 /**
  * One organisation at one borrower: its borrowed tokens, its demand and the shards to borrow from. Requests and the
@@ -14,9 +15,20 @@
     private static final double BATCH_PART_OF_LOAN = 0.25;
     /** How long the demand of the next moments must be covered while a loan request is under way. */
     private static final double LEAD_MILLIS = 30;
+    /** All nodes together prefetch at most this part of the burst, so that the rest is left for bursts. */
+    private static final double PREFETCHED_PART_OF_BURST = 0.25;
+    /** Settlements wait this long for a loan request to the same owner that can carry them. */
+    private static final long SETTLE_DELAY_MILLIS = 30;
+    /** A loan that expires within this time is given back, so that the owner hears of it in time. */
+    private static final long GIVE_BACK_MILLIS = 60;
+    /** A loan is kept at least this long, because requests may still be waiting for it. */
+    private static final long KEEP_MILLIS = 40;
     /** How long a source that did not answer is left alone. */
     private static final long FAILED_BACKOFF_MILLIS = 500;
 
+    /** Multiplier of a linear congruential generator modulo 2^64, which spreads the rounds over the shards. */
+    private static final long LEAP = 6364136223846793005L;
+
     private static final long TOKEN = ShareMap.TOKEN_MICROS;
 
     final OrganisationId organisation;
@@ -25,9 +37,10 @@
     private final DemandMeter demand = new DemandMeter();
     private final WaitingCount waiting;
     private List<LoanSource> sources = List.of();
-    private int firstOwn;
+    private long round;
     private int ownCount;
     private double ratePerMilli;
+    private double burst;
     private long requests;
     private long expectedMicros;
     private long tickedAt;
@@ -43,7 +56,7 @@
     }
 
     /** Sets the sources, those of the own zone first. Sources that did not change keep their state. */
-    synchronized void configure(List<LoanSource> wanted, int own, int start, double rate) {
+    synchronized void configure(List<LoanSource> wanted, int own, long start, Organisation limits) {
         boolean same = wanted.size() == sources.size();
         for (int i = 0; same && i < wanted.size(); i++) {
             same = wanted.get(i).sameAs(sources.get(i));
@@ -53,8 +66,9 @@
             expectedMicros = 0;
         }
         ownCount = own;
-        firstOwn = start;
-        ratePerMilli = rate / 1_000;
+        round ^= start;
+        ratePerMilli = limits.rate() / 1_000;
+        burst = limits.burst();
     }
 
     /**
@@ -94,34 +108,55 @@
             requests = 0;
             tickedAt = latest;
         }
-        long missing = missing();
-        if (missing > 0) {
-            borrow(missing, sink);
+        double perMilli = Math.min(demand.perMilli(), ratePerMilli);
+        long urgent = waiting.count(latest) * TOKEN;
+        long most = mostPrefetched(perMilli);
+        long low = urgent + Math.min(most, prefetched(perMilli));
+        long batch = low > urgent ? Math.min(urgent + most - low, batch(perMilli)) : 0;
+        purse.giveBack(low + batch, latest + GIVE_BACK_MILLIS, latest + settings.loanMillis() - KEEP_MILLIS, latest);
+        long held = purse.balance(latest) + expectedMicros;
+        if (held < low) {
+            borrow(low + batch - held, sink);
         }
-        active = !demand.idle() || expectedMicros > 0 || purse.balance(latest) > 0;
+        boolean settling = settle(sink);
+        active = !demand.idle() || expectedMicros > 0 || purse.balance(latest) > 0 || settling;
         return active;
     }
 
-    private long missing() {
-        long held = purse.balance(latest) + expectedMicros;
-        long urgent = waiting.count(latest) * TOKEN;
-        double perMilli = Math.min(demand.perMilli(), ratePerMilli);
-        double usesPerLoan = perMilli * settings.loanMillis();
-        if (usesPerLoan < LEAST_USES_PER_LOAN) {
-            return urgent - held;
+    /** Returns what must be held so that requests rarely find no token while a loan request is under way. */
+    private long prefetched(double perMilli) {
+        if (perMilli * settings.loanMillis() < LEAST_USES_PER_LOAN) {
+            return 0;
         }
         double lead = perMilli * LEAD_MILLIS;
-        long low = urgent + (long) ((lead + 2 * Math.sqrt(lead)) * TOKEN);
-        if (held >= low) {
-            return 0;
+        return (long) ((lead + 2 * Math.sqrt(lead)) * TOKEN);
+    }
+
+    /** This node's part of what all nodes may prefetch, by its part of the rate; nothing if it is less than a token. */
+    private long mostPrefetched(double perMilli) {
+        double tokens = PREFETCHED_PART_OF_BURST * burst * perMilli / ratePerMilli;
+        return (long) Math.floor(tokens) * TOKEN;
+    }
+
+    private long batch(double perMilli) {
+        return (long) Math.ceil(perMilli * settings.loanMillis() * BATCH_PART_OF_LOAN) * TOKEN;
+    }
+
+    private boolean settle(AskSink sink) {
+        boolean waits = false;
+        for (LoanSource source : sources) {
+            if (source.hasSettled(SETTLE_DELAY_MILLIS, latest)) {
+                sink.ask(this, source, 0);
+            }
+            waits |= source.hasSettled(0, latest);
         }
-        long batch = (long) Math.ceil(usesPerLoan * BATCH_PART_OF_LOAN) * TOKEN;
-        return low + batch - held;
+        return waits;
     }
 
     private void borrow(long missing, AskSink sink) {
         long left = missing;
         int count = sources.size();
+        round = LEAP * round + 1;
         for (int i = 0; i < count && left > 0; i++) {
             LoanSource source = sources.get(index(i, count));
             long expected = source.available(latest) ? source.expected(latest) : 0;
@@ -136,13 +171,16 @@
         }
     }
 
-    /** Own zone first; within it and within the others the nodes start at different sources. */
+    /**
+     * Own zone first; within it and within the others every round starts elsewhere, because nodes that need tokens at
+     * the same time would otherwise compete for the same shards.
+     */
     private int index(int i, int count) {
         if (i < ownCount) {
-            return (firstOwn + i) % ownCount;
+            return (int) Math.floorMod((round >>> 33) + i, ownCount);
         }
         int others = count - ownCount;
-        return ownCount + (firstOwn + i - ownCount) % others;
+        return ownCount + (int) Math.floorMod((round >>> 40) + i, others);
     }
 
     private static long wanted(long left, long expected) {
@@ -153,11 +191,11 @@
         return expected >= TOKEN ? expected / TOKEN * TOKEN : 0;
     }
 
-    synchronized void answered(LoanSource source, long wanted, LoanGrant grant, long sentAt, long now) {
+    synchronized void answered(LoanSource source, long askId, long wanted, LoanGrant grant, long sentAt, long now) {
         source.answered(wanted, grant, now);
         expectedMicros = Math.max(0, expectedMicros - wanted);
         if (grant.grantedMicros() > 0) {
-            purse.add(grant.grantedMicros(), sentAt + settings.loanMillis());
+            purse.add(new LoanPurse.Loan(source, askId, grant.grantedMicros(), sentAt + settings.loanMillis()));
         }
     }
 
