--- a/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
@@ -103,7 +103,14 @@
             release(request);
             return;
         }
-        channel().writeAndFlush(envelope).addListener(written -> release(request));
+        channel().writeAndFlush(envelope).addListener(done -> written(request, done.cause()));
+    }
+
+    private void written(PendingRequest request, Throwable cause) {
+        release(request);
+        if (cause != null && open.remove(request.stream()) != null) {
+            request.fail("cannot write: " + cause.getMessage());
+        }
     }
 
     private void expire(PendingRequest request) {
