--- a/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
@@ -1,6 +1,7 @@
 package org.trefoilledge.wire;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 import static org.trefoilledge.wire.Peers.answerOf;
 import static org.trefoilledge.wire.Peers.await;
 import static org.trefoilledge.wire.Peers.call;
@@ -17,12 +18,17 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.trefoilledge.wire.generated.Call;
 import org.trefoilledge.wire.generated.Envelope;
+import org.trefoilledge.wire.generated.Hello;
 
 /** Tests a transport against peers that are slow, faulty or malicious, written on plain sockets. */
 @Timeout(30)
@@ -172,47 +178,32 @@
         assertThat(failure.sent()).isFalse();
     }
 
-    @Test
-    void requestBeforeHelloIsNotHandled() throws Exception {
-        expectDisconnection(frame(call("/").toBuilder().setStream(1).build()));
-    }
-
-    @Test
-    void helloOfAnotherProtocolVersionIsRefused() throws Exception {
-        expectDisconnection(frame(Envelope.newBuilder()
-                .setHello(PEER.hello().toBuilder().setProtocol(PeerIdentity.PROTOCOL + 1))
-                .build()));
-    }
-
-    @Test
-    void helloWithAnInvalidHostIsRefused() throws Exception {
-        expectDisconnection(frame(Envelope.newBuilder()
-                .setHello(PEER.hello().toBuilder().setHost("No Host"))
-                .build()));
-    }
-
-    /** Guards against allocation of whatever length a faulty peer announces. */
-    @Test
-    void frameAboveTheBoundIsRefused() throws Exception {
-        expectDisconnection(frame(1L << 31, 0, new byte[0]));
-    }
-
-    @Test
-    void endlessFrameLengthIsRefused() throws Exception {
-        byte[] bytes = new byte[5];
-        Arrays.fill(bytes, (byte) 0xFF);
-        expectDisconnection(bytes);
-    }
-
-    @Test
-    void frameWithoutAMessageIsRefused() throws Exception {
-        expectDisconnection(frame(Envelope.getDefaultInstance()));
-    }
-
-    private void expectDisconnection(byte[] bytes) throws IOException {
+    static Stream<Arguments> invalidOpenings() {
+        Envelope early = call("/").toBuilder().setStream(1).build();
+        Hello hello = PEER.hello();
+        Hello otherProtocol =
+                hello.toBuilder().setProtocol(PeerIdentity.PROTOCOL + 1).build();
+        Hello invalidHost = hello.toBuilder().setHost("No Host").build();
+        return Stream.of(
+                arguments("request before Hello", frame(early)),
+                arguments(
+                        "other protocol",
+                        frame(Envelope.newBuilder().setHello(otherProtocol).build())),
+                arguments(
+                        "invalid host",
+                        frame(Envelope.newBuilder().setHello(invalidHost).build())),
+                arguments("frame above the bound", frame(1L << 31, 0, new byte[0])),
+                arguments("endless length", new byte[] {-1, -1, -1, -1, -1}),
+                arguments("no message", frame(Envelope.getDefaultInstance())));
+    }
+
+    /** Guards against work, or allocation of any announced length, for what is not a correct peer. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("invalidOpenings")
+    void invalidOpeningClosesTheConnection(String name, byte[] bytes) throws IOException {
         try (RawPeer peer = RawPeer.connect(transport.address())) {
             peer.write(bytes);
-            assertThat(peer.closedByPeer()).isTrue();
+            assertThat(peer.closedByPeer()).as(name).isTrue();
         }
         assertThat(handled).isEmpty();
     }
--- a/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
@@ -148,19 +148,16 @@
     /** Guards against requests that are lost, or reported as not sent, when a peer restarts under its address. */
     @Test
     void restartedPeerFailsOpenRequestsAndServesNewOnes() throws Exception {
-        List<String> handled = Collections.synchronizedList(new ArrayList<>());
-        PeerTransport first = start(
-                "b",
-                1,
-                (from, request, responder) -> handled.add(request.getCall().getTarget()));
+        Recorder recorder = new Recorder();
+        PeerTransport first = start("b", 1, recorder);
         PeerTransport client = start("a", 1, Peers.SILENT);
         CompletableFuture<Envelope> open = client.ask(first.address(), call("/old"), 20_000);
-        await(() -> handled.contains("/old"));
+        await(() -> recorder.events.size() == 1);
         TransportSettings same = TransportSettings.of(first.address());
         first.close();
 
         assertThat(failureOf(open).sent()).isTrue();
-        PeerTransport second = start("b", 2, (from, request, responder) -> responder.accept(answerOf(request)), same);
+        PeerTransport second = start("b", 2, Peers.ECHO, same);
         Envelope answer = client.ask(second.address(), call("/new"), 5_000).get();
         assertThat(answer.getCallAnswer().getUpstream()).isEqualTo("/new");
     }
@@ -168,14 +165,11 @@
     /** Guards against a connection to a replaced run of a host that stays in use because its end was never seen. */
     @Test
     void laterIncarnationClosesConnectionsToTheEarlierOne() throws Exception {
-        List<String> handled = Collections.synchronizedList(new ArrayList<>());
-        PeerTransport old = start(
-                "b",
-                1,
-                (from, request, responder) -> handled.add(request.getCall().getTarget()));
+        Recorder recorder = new Recorder();
+        PeerTransport old = start("b", 1, recorder);
         PeerTransport client = start("a", 1, Peers.SILENT);
         CompletableFuture<Envelope> open = client.ask(old.address(), call("/old"), 20_000);
-        await(() -> handled.contains("/old"));
+        await(() -> recorder.events.size() == 1);
 
         PeerTransport replacement = start("b", 2, Peers.SILENT);
         failureOf(replacement.ask(client.address(), call("/hello"), 200));
@@ -187,53 +181,32 @@
 
     @Test
     void cancelledRequestIsReportedToTheHandlerOnce() throws Exception {
-        List<String> events = Collections.synchronizedList(new ArrayList<>());
-        PeerTransport server = start("b", 1, new PeerHandler() {
-            @Override
-            public void handle(PeerIdentity from, Envelope request, Consumer<Envelope> responder) {
-                events.add("request " + request.getStream());
-            }
-
-            @Override
-            public void cancelled(PeerIdentity from, long stream) {
-                events.add("cancelled " + stream);
-            }
-        });
+        Recorder recorder = new Recorder();
+        PeerTransport server = start("b", 1, recorder);
         PeerTransport client = start("a", 1, Peers.SILENT);
         CompletableFuture<Envelope> answer = client.ask(server.address(), call("/"), 20_000);
-        await(() -> events.size() == 1);
+        await(() -> recorder.events.size() == 1);
 
         client.cancel(answer);
         client.cancel(answer);
 
         assertThat(failureOf(answer)).hasMessageContaining("cancelled");
-        await(() -> events.size() == 2);
+        await(() -> recorder.events.size() == 2);
         client.close();
         await(() -> server.openConnections() == 0);
-        assertThat(events).containsExactly("request 1", "cancelled 1");
+        assertThat(recorder.events).containsExactly("request 1 /", "cancelled 1");
     }
 
     /** Guards against work for a caller that is gone. */
     @Test
     void requestsOfAClosedConnectionAreCancelled() throws Exception {
-        List<Long> cancelled = Collections.synchronizedList(new ArrayList<>());
-        List<Long> handled = Collections.synchronizedList(new ArrayList<>());
-        PeerTransport server = start("b", 1, new PeerHandler() {
-            @Override
-            public void handle(PeerIdentity from, Envelope request, Consumer<Envelope> responder) {
-                handled.add(request.getStream());
-            }
-
-            @Override
-            public void cancelled(PeerIdentity from, long stream) {
-                cancelled.add(stream);
-            }
-        });
+        Recorder recorder = new Recorder();
+        PeerTransport server = start("b", 1, recorder);
         PeerTransport client = start("a", 1, Peers.SILENT);
         CompletableFuture<Envelope> answer = client.ask(server.address(), call("/"), 20_000);
-        await(() -> handled.size() == 1);
+        await(() -> recorder.events.size() == 1);
         client.close();
-        await(() -> cancelled.equals(handled));
+        await(() -> recorder.events.contains("cancelled 1"));
         assertThat(failureOf(answer).sent()).isTrue();
     }
 
@@ -260,7 +233,7 @@
 
     @Test
     void blockedPeerCannotBeConnectedTo() throws Exception {
-        PeerTransport server = start("b", 1, (from, request, responder) -> responder.accept(answerOf(request)));
+        PeerTransport server = start("b", 1, Peers.ECHO);
         PeerTransport client = start("a", 1, Peers.SILENT, SETTINGS.withTimes(200, 60_000, 3_000));
         client.setBlocked(peer -> peer.zone().value().equals("z1"));
         assertThat(failureOf(client.ask(server.address(), call("/"), 5_000)).sent())
@@ -273,7 +246,7 @@
     /** Guards against a connection that stays silent after a partition, until TCP sends again minutes later. */
     @Test
     void silentConnectionIsReplaced() throws Exception {
-        PeerTransport server = start("b", 1, (from, request, responder) -> responder.accept(answerOf(request)));
+        PeerTransport server = start("b", 1, Peers.ECHO);
         PeerTransport client = start("a", 1, Peers.SILENT, SETTINGS.withTimes(300, 60_000, 100));
         client.ask(server.address(), call("/"), 5_000).get();
         server.setBlocked(peer -> true);
@@ -285,10 +258,26 @@
 
     @Test
     void idleConnectionIsClosedAndOpenedAgainOnDemand() throws Exception {
-        PeerTransport server = start("b", 1, (from, request, responder) -> responder.accept(answerOf(request)));
+        PeerTransport server = start("b", 1, Peers.ECHO);
         PeerTransport client = start("a", 1, Peers.SILENT, SETTINGS.withTimes(1_000, 100, 3_000));
         client.ask(server.address(), call("/"), 5_000).get();
         await(() -> client.openConnections() == 0);
         client.ask(server.address(), call("/"), 5_000).get();
     }
+
+    /** Records requests and cancellations and never answers. */
+    private static final class Recorder implements PeerHandler {
+        private final List<String> events = Collections.synchronizedList(new ArrayList<>());
+
+        @Override
+        public void handle(PeerIdentity from, Envelope request, Consumer<Envelope> responder) {
+            events.add(
+                    "request " + request.getStream() + " " + request.getCall().getTarget());
+        }
+
+        @Override
+        public void cancelled(PeerIdentity from, long stream) {
+            events.add("cancelled " + stream);
+        }
+    }
 }
--- a/wire/src/test/java/org/trefoilledge/wire/Peers.java
+++ b/wire/src/test/java/org/trefoilledge/wire/Peers.java
@@ -18,6 +18,9 @@
     /** Never answers. */
     static final PeerHandler SILENT = (from, request, responder) -> {};
 
+    /** Repeats each call. */
+    static final PeerHandler ECHO = (from, request, responder) -> responder.accept(answerOf(request));
+
     private static final long AWAIT_NANOS = 10_000_000_000L;
 
     private Peers() {}
--- /dev/null
+++ b/wire/src/test/java/org/trefoilledge/wire/TransportBenchmark.java
@@ -0,0 +1,87 @@
+package org.trefoilledge.wire;
+
+import com.google.protobuf.ByteString;
+import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.trefoilledge.wire.generated.Call;
+import org.trefoilledge.wire.generated.Envelope;
+
+/** Measures round trips between two transports of this process over loopback. Not a test: it checks nothing. */
+@SuppressWarnings("FutureReturnValueIgnored") // the answers are counted where they arrive
+public final class TransportBenchmark {
+    private static final int BODY_BYTES = 1024;
+    private static final int RATE_PER_SECOND = 260;
+    private static final int WARM_UP_SECONDS = 5;
+    private static final int MEASURED_SECONDS = 20;
+    private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int IN_FLIGHT = 256;
+    private static final int MESSAGES = 500_000;
+
+    private static final Envelope REQUEST = Envelope.newBuilder()
+            .setCall(Call.newBuilder().setTarget("/orders").setBody(ByteString.copyFrom(new byte[BODY_BYTES])))
+            .build();
+
+    private TransportBenchmark() {}
+
+    /** Prints the latency at a fixed rate, then the throughput with many requests in flight. */
+    public static void main(String[] arguments) throws Exception {
+        TransportSettings settings = TransportSettings.of("127.0.0.1:0");
+        try (PeerTransport server = new PeerTransport(Peers.identity("b", 1), Peers.ECHO, settings);
+                PeerTransport client = new PeerTransport(Peers.identity("a", 1), Peers.SILENT, settings)) {
+            latency(client, server.address(), WARM_UP_SECONDS);
+            report(latency(client, server.address(), MEASURED_SECONDS));
+            throughput(client, server.address());
+            throughput(client, server.address());
+        }
+    }
+
+    /** Sends at a fixed rate; each latency counts from the time at which the request was due. */
+    private static long[] latency(PeerTransport client, String address, int seconds) throws Exception {
+        int count = RATE_PER_SECOND * seconds;
+        long[] nanos = new long[count];
+        CountDownLatch done = new CountDownLatch(count);
+        long start = System.nanoTime();
+        for (int i = 0; i < count; i++) {
+            int index = i;
+            long due = start + i * TimeUnit.SECONDS.toNanos(1) / RATE_PER_SECOND;
+            while (System.nanoTime() < due) {
+                LockSupport.parkNanos(due - System.nanoTime());
+            }
+            client.ask(address, REQUEST, TIMEOUT_MILLIS).thenAccept(answer -> {
+                nanos[index] = System.nanoTime() - due;
+                done.countDown();
+            });
+        }
+        if (!done.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+            throw new IllegalStateException(done.getCount() + " requests failed");
+        }
+        Arrays.sort(nanos);
+        return nanos;
+    }
+
+    private static void report(long[] nanos) {
+        System.out.printf(
+                "%d requests at %d/s: p50 %d us, p99 %d us, max %d us%n",
+                nanos.length,
+                RATE_PER_SECOND,
+                nanos[nanos.length / 2] / 1_000,
+                nanos[nanos.length * 99 / 100] / 1_000,
+                nanos[nanos.length - 1] / 1_000);
+    }
+
+    private static void throughput(PeerTransport client, String address) throws InterruptedException {
+        Semaphore inFlight = new Semaphore(IN_FLIGHT);
+        long start = System.nanoTime();
+        for (int i = 0; i < MESSAGES; i++) {
+            inFlight.acquire();
+            client.ask(address, REQUEST, TIMEOUT_MILLIS).whenComplete((answer, failure) -> inFlight.release());
+        }
+        inFlight.acquire(IN_FLIGHT);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        System.out.printf(
+                "%.0f round trips/s of %d byte bodies, %d in flight%n", MESSAGES / seconds, BODY_BYTES, IN_FLIGHT);
+    }
+}
