--- a/wire/src/test/java/org/trefoilledge/wire/TransportBenchmark.java
+++ b/wire/src/test/java/org/trefoilledge/wire/TransportBenchmark.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.LockSupport;
 import org.trefoilledge.wire.generated.Call;
 import org.trefoilledge.wire.generated.Envelope;
@@ -32,15 +33,16 @@
         try (PeerTransport server = new PeerTransport(Peers.identity("b", 1), Peers.ECHO, settings);
                 PeerTransport client = new PeerTransport(Peers.identity("a", 1), Peers.SILENT, settings)) {
             latency(client, server.address(), WARM_UP_SECONDS);
-            report(latency(client, server.address(), MEASURED_SECONDS));
+            latency(client, server.address(), MEASURED_SECONDS);
             throughput(client, server.address());
             throughput(client, server.address());
         }
     }
 
-    /** Sends at a fixed rate; each latency counts from the time at which the request was due. */
-    private static long[] latency(PeerTransport client, String address, int seconds) throws Exception {
+    /** Sends at a fixed rate. The delay of the sender shows how much of the latency is the machine's. */
+    private static void latency(PeerTransport client, String address, int seconds) throws Exception {
         int count = RATE_PER_SECOND * seconds;
+        long[] delays = new long[count];
         long[] nanos = new long[count];
         CountDownLatch done = new CountDownLatch(count);
         long start = System.nanoTime();
@@ -50,21 +52,25 @@
             while (System.nanoTime() < due) {
                 LockSupport.parkNanos(due - System.nanoTime());
             }
+            long sent = System.nanoTime();
+            delays[i] = sent - due;
             client.ask(address, REQUEST, TIMEOUT_MILLIS).thenAccept(answer -> {
-                nanos[index] = System.nanoTime() - due;
+                nanos[index] = System.nanoTime() - sent;
                 done.countDown();
             });
         }
         if (!done.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
             throw new IllegalStateException(done.getCount() + " requests failed");
         }
-        Arrays.sort(nanos);
-        return nanos;
+        report("sender's delay", delays);
+        report("round trip", nanos);
     }
 
-    private static void report(long[] nanos) {
+    private static void report(String what, long[] nanos) {
+        Arrays.sort(nanos);
         System.out.printf(
-                "%d requests at %d/s: p50 %d us, p99 %d us, max %d us%n",
+                "%s, %d requests at %d/s: p50 %d us, p99 %d us, max %d us%n",
+                what,
                 nanos.length,
                 RATE_PER_SECOND,
                 nanos[nanos.length / 2] / 1_000,
@@ -74,14 +80,21 @@
 
     private static void throughput(PeerTransport client, String address) throws InterruptedException {
         Semaphore inFlight = new Semaphore(IN_FLIGHT);
+        LongAdder failures = new LongAdder();
         long start = System.nanoTime();
         for (int i = 0; i < MESSAGES; i++) {
             inFlight.acquire();
-            client.ask(address, REQUEST, TIMEOUT_MILLIS).whenComplete((answer, failure) -> inFlight.release());
+            client.ask(address, REQUEST, TIMEOUT_MILLIS).whenComplete((answer, failure) -> {
+                if (failure != null) {
+                    failures.increment();
+                }
+                inFlight.release();
+            });
         }
         inFlight.acquire(IN_FLIGHT);
         double seconds = (System.nanoTime() - start) / 1e9;
         System.out.printf(
-                "%.0f round trips/s of %d byte bodies, %d in flight%n", MESSAGES / seconds, BODY_BYTES, IN_FLIGHT);
+                "%.0f round trips/s of %d byte bodies, %d in flight, %d failures%n",
+                MESSAGES / seconds, BODY_BYTES, IN_FLIGHT, failures.sum());
     }
 }
