--- a/wire/src/main/java/org/trefoilledge/wire/FrameDecoder.java
+++ b/wire/src/main/java/org/trefoilledge/wire/FrameDecoder.java
@@ -20,7 +20,6 @@
     private final int maxFrameBytes;
     private final Traffic traffic;
     private final CRC32C checksum = new CRC32C();
-    private boolean failed;
 
     FrameDecoder(int maxFrameBytes, Traffic traffic) {
         this.maxFrameBytes = maxFrameBytes;
@@ -29,17 +28,6 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws ProtocolException {
-        if (failed) {
-            in.skipBytes(in.readableBytes());
-            return;
-        }
-        // Set until the frame is complete and correct, because frames after a malformed one must not be read.
-        failed = true;
-        decodeFrame(in, out);
-        failed = false;
-    }
-
-    private void decodeFrame(ByteBuf in, List<Object> out) throws ProtocolException {
         int start = in.readerIndex();
         int length = readLength(in);
         if (length == INCOMPLETE || in.readableBytes() < CHECKSUM_BYTES + length) {
--- a/wire/src/main/java/org/trefoilledge/wire/PeerConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerConnection.java
@@ -105,6 +105,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope envelope) throws ProtocolException {
+        // Frames after a malformed one may already be in the buffer; they must not be read.
         if (closeReason != null) {
             return;
         }
--- a/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
@@ -146,7 +146,7 @@
             return;
         }
         try {
-            outgoing.computeIfAbsent(request.address(), this::open).submit(request);
+            connection(request.address()).submit(request);
         } catch (IllegalArgumentException e) {
             request.fail(e.getMessage());
         }
@@ -217,19 +217,31 @@
                 && first.address().equals(second.address());
     }
 
-    private OutgoingConnection open(String address) {
+    private OutgoingConnection connection(String address) {
+        OutgoingConnection known = outgoing.get(address);
+        if (known != null) {
+            return known;
+        }
         InetSocketAddress target = PeerAddress.parse(address);
-        OutgoingConnection connection = new OutgoingConnection(this, address, group.next());
-        ChannelFuture connecting = new Bootstrap()
+        OutgoingConnection created = new OutgoingConnection(this, address, group.next());
+        known = outgoing.putIfAbsent(address, created);
+        if (known != null) {
+            return known;
+        }
+        connect(created, target);
+        return created;
+    }
+
+    private void connect(OutgoingConnection connection, InetSocketAddress target) {
+        new Bootstrap()
                 .group(connection.loop())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .handler(pipeline(() -> connection, settings.idleMillis()))
-                .connect(target);
-        connecting.addListener(done -> connected(connection, done.cause()));
-        return connection;
+                .connect(target)
+                .addListener(done -> connected(connection, done.cause()));
     }
 
     private static void connected(OutgoingConnection connection, Throwable cause) {
