Keep an admission level per organisation

Cause: the level was raised by arrivals over throughput of a whole class, so it shed organisations within their share together with the one that sent six times its rate, both in the guard and at the entry node.

Change: the guard keeps a level per organisation and raises it only by the calls that it refused to that organisation. report, admits, observe and retryAfterMillis have overloads with the organisation.

Ruled out: unfair dequeueing.

--- a/core/src/main/java/org/trefoilledge/core/overload/AdmissionLevel.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/AdmissionLevel.java
@@ -4,9 +4,9 @@
 import org.trefoilledge.core.Importance;
 
 /**
- * The rank below which a guard refuses calls. The rank orders calls by importance class and then by the hash of the
- * root request, so that every hop of a call tree decides alike. While the queue has a standing delay, the level rises
- * just far enough that the calls above it fit the measured throughput; while the queue is empty, it falls to zero
+ * The rank below which a guard refuses the calls of one organisation. The rank orders calls by importance class and
+ * then by the hash of the root request, so that every hop of a call tree decides alike. The level rises just far
+ * enough to shed the calls that the guard had to refuse; while the organisation has nothing queued, it falls to zero
  * within 2 s.
  */
 public final class AdmissionLevel {
@@ -17,13 +17,14 @@
     private static final int RANKS_PER_BUCKET = 64;
     private static final long WINDOW_MILLIS = 50;
     private static final long FALL_MILLIS = 2_000;
-    /** The calls above the level exceed throughput by this share, so that the queue does not run dry. */
-    private static final double OVERSUBSCRIPTION = 1.05;
+    /** Refusals up to this share of the calls that run are accepted, so that the queue does not run dry. */
+    private static final double OVERSUBSCRIPTION = 0.05;
 
     private final int[] arrivals = new int[RANKS / RANKS_PER_BUCKET];
     private double level;
-    private int arrived;
-    private int completed;
+    private int refused;
+    private int started;
+    private int queued;
     private long windowStartMillis = -1;
 
     /** Returns the rank of a root request, from 0 (refused first) to {@link #RANKS} - 1 (refused last). */
@@ -51,15 +52,33 @@
     void arrived(int rank) {
         if (rank >= level) {
             arrivals[rank / RANKS_PER_BUCKET]++;
-            arrived++;
         }
     }
 
-    void completed() {
-        completed++;
+    void queued() {
+        queued++;
     }
 
-    void update(boolean standing, boolean empty, long now) {
+    void leftQueue() {
+        queued--;
+    }
+
+    void started() {
+        started++;
+    }
+
+    /** Counts a refused call, unless the level has risen above it since it arrived. */
+    void refused(int rank) {
+        if (rank >= level) {
+            refused++;
+        }
+    }
+
+    boolean idle() {
+        return queued == 0 && level == 0;
+    }
+
+    void update(long now) {
         if (windowStartMillis < 0) {
             windowStartMillis = now;
         }
@@ -67,22 +86,23 @@
         if (age < WINDOW_MILLIS) {
             return;
         }
-        if (standing) {
-            rise();
-        } else if (empty) {
+        double excess = refused - started * OVERSUBSCRIPTION;
+        if (excess > 0) {
+            rise(excess);
+        } else if (queued == 0) {
             level = Math.max(0, level - (double) RANKS * age / FALL_MILLIS);
         }
         startWindow(now);
     }
 
-    private void rise() {
-        double excess = arrived - Math.max(1, completed * OVERSUBSCRIPTION);
+    private void rise(double excess) {
         int bucket = (int) level / RANKS_PER_BUCKET;
-        while (excess > 0 && bucket < arrivals.length) {
-            double share = arrivals[bucket] == 0 ? 1 : Math.min(1, excess / arrivals[bucket]);
+        double left = excess;
+        while (left > 0 && bucket < arrivals.length) {
+            double share = arrivals[bucket] == 0 ? 1 : Math.min(1, left / arrivals[bucket]);
             double top = (bucket + 1) * RANKS_PER_BUCKET;
             level += (top - level) * share;
-            excess -= arrivals[bucket];
+            left -= arrivals[bucket];
             bucket++;
         }
         level = Math.min(level, RANKS - 1);
@@ -90,8 +110,8 @@
 
     private void startWindow(long now) {
         windowStartMillis = now;
-        arrived = 0;
-        completed = 0;
+        refused = 0;
+        started = 0;
         Arrays.fill(arrivals, 0);
     }
 }
--- a/core/src/main/java/org/trefoilledge/core/overload/FairQueue.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/FairQueue.java
@@ -69,8 +69,8 @@
         }
     }
 
-    /** Removes and returns the call to run next, or null when the queue is empty. */
-    PendingCall poll(boolean newestFirst) {
+    /** Returns the call to run next, or null when the queue is empty. */
+    PendingCall peek(boolean newestFirst) {
         Flow first = null;
         for (int i = 0; i < backlogged.size(); i++) {
             Flow flow = backlogged.get(i);
@@ -81,9 +81,7 @@
         if (first == null) {
             return null;
         }
-        PendingCall call = newestFirst ? first.newest : first.oldest;
-        remove(call);
-        return call;
+        return newestFirst ? first.newest : first.oldest;
     }
 
     /** Charges the flow of a dispatched call. Calls that are refused after leaving the queue are not charged. */
--- a/core/src/main/java/org/trefoilledge/core/overload/Guard.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/Guard.java
@@ -23,7 +23,7 @@
 
     private final GuardSettings settings;
     private final ConcurrencyLimit limit;
-    private final AdmissionLevel level = new AdmissionLevel();
+    private final Map<OrganisationId, AdmissionLevel> levels = new HashMap<>();
     private final FairQueue[] queues;
     private final Map<Long, PendingCall> calls = new HashMap<>();
     private Map<OrganisationId, Double> weights = Map.of();
@@ -58,6 +58,7 @@
         newWeights.forEach(Guard::checkWeight);
         slots = newSlots;
         weights = Map.copyOf(newWeights);
+        levels.entrySet().removeIf(entry -> entry.getValue().idle() && !weights.containsKey(entry.getKey()));
         limit.configure(newSlots);
         for (FairQueue queue : queues) {
             queue.configure(weights);
@@ -71,17 +72,18 @@
             return List.of(refusal(call, ErrorKind.DRAINING));
         }
         limit.started(now);
-        int rank = AdmissionLevel.rank(call.importance(), call.rootHash());
+        OrganisationId organisation = flowKey(call.organisation());
+        AdmissionLevel level = level(organisation);
+        int rank = call.rank();
+        if (rank < level.value() && settings.has(Mechanism.ADMISSION_LEVEL) && !room()) {
+            return List.of(refusal(call, ErrorKind.OVERLOADED));
+        }
         level.arrived(rank);
         if (hopeless(call)) {
             return List.of(refusal(call, ErrorKind.DEADLINE_EXCEEDED));
         }
         FairQueue queue = queue(call);
-        Flow flow = queue.flow(flowKey(call), weights);
-        if (flow.size > 0 && settings.has(Mechanism.ADMISSION_LEVEL) && rank < level.value()) {
-            return List.of(refusal(call, ErrorKind.OVERLOADED));
-        }
-        return enqueue(call, queue, flow);
+        return enqueue(call, queue, queue.flow(organisation, weights), level);
     }
 
     /**
@@ -99,7 +101,6 @@
         calls.remove(ticket);
         running--;
         limit.sample(call.startedMillis, succeeded, now);
-        level.completed();
         return dispatch(new ArrayList<>(2));
     }
 
@@ -120,13 +121,11 @@
     public List<GuardAction> tick(long now) {
         advance(now);
         List<GuardAction> actions = new ArrayList<>();
-        boolean standing = false;
         for (FairQueue queue : queues) {
             queue.observeDelay(now);
-            standing |= queue.standing();
         }
         if (settings.has(Mechanism.ADMISSION_LEVEL)) {
-            level.update(standing, queued == 0, now);
+            levels.values().forEach(level -> level.update(now));
         }
         if (queued > 0 && now - scannedMillis >= EXPIRY_SCAN_MILLIS) {
             scannedMillis = now;
@@ -140,13 +139,20 @@
         draining = true;
     }
 
-    /** Returns the load at the given time. */
+    /**
+     * Returns the load at the given time. The admission level is the lowest of all organisations, what every one of
+     * them has to shed; {@link #report(long, OrganisationId)} is more exact.
+     */
     public LoadReport report(long now) {
-        long delay = 0;
-        for (FairQueue queue : queues) {
-            delay = Math.max(delay, queue.delayMillis(now));
-        }
-        return new LoadReport(running, limit.current(now), delay, level.value());
+        int lowest =
+                levels.values().stream().mapToInt(AdmissionLevel::value).min().orElse(0);
+        return report(now, lowest);
+    }
+
+    /** Returns the load at the given time with the admission level of the given organisation. */
+    public LoadReport report(long now, OrganisationId organisation) {
+        AdmissionLevel level = levels.get(flowKey(organisation));
+        return report(now, level == null ? 0 : level.value());
     }
 
     /** Returns the generation number, which grows every second. */
@@ -170,6 +176,14 @@
         return acceptsGeneration(stamped);
     }
 
+    private LoadReport report(long now, int admissionLevel) {
+        long delay = 0;
+        for (FairQueue queue : queues) {
+            delay = Math.max(delay, queue.delayMillis(now));
+        }
+        return new LoadReport(running, limit.current(now), delay, admissionLevel);
+    }
+
     private static void checkWeight(OrganisationId organisation, double weight) {
         if (!(weight > 0) || Double.isInfinite(weight)) {
             throw new IllegalArgumentException("weight of " + organisation + " must be positive, but was: " + weight);
@@ -188,8 +202,23 @@
         return queues[queues.length == 1 ? 0 : AdmissionLevel.order(call.importance())];
     }
 
-    private OrganisationId flowKey(GuardedCall call) {
-        return settings.has(Mechanism.FAIRNESS) ? call.organisation() : ONE_FLOW;
+    private OrganisationId flowKey(OrganisationId organisation) {
+        return settings.has(Mechanism.FAIRNESS) ? organisation : ONE_FLOW;
+    }
+
+    private AdmissionLevel level(OrganisationId organisation) {
+        AdmissionLevel known = levels.get(organisation);
+        if (known != null) {
+            return known;
+        }
+        AdmissionLevel added = new AdmissionLevel();
+        levels.put(organisation, added);
+        return added;
+    }
+
+    /** Returns whether a slot is free and no call waits for it, so that a refusal would only waste the slot. */
+    private boolean room() {
+        return queued == 0 && running < allowed();
     }
 
     private boolean newestFirst(FairQueue queue) {
@@ -208,19 +237,21 @@
         return settings.has(Mechanism.DEADLINES) && running > 0 && left < limit.serviceMillis();
     }
 
-    private List<GuardAction> enqueue(GuardedCall call, FairQueue queue, Flow flow) {
+    private List<GuardAction> enqueue(GuardedCall call, FairQueue queue, Flow flow, AdmissionLevel level) {
         PendingCall displaced = null;
         if (queue.size() >= queueBound()) {
             displaced = displaced(queue, flow);
             if (displaced == null) {
+                level.refused(call.rank());
                 return List.of(refusal(call, ErrorKind.OVERLOADED));
             }
         }
-        PendingCall pending = new PendingCall(call, nowMillis);
+        PendingCall pending = new PendingCall(call, level, nowMillis);
         if (calls.putIfAbsent(call.ticket(), pending) != null) {
             throw new IllegalArgumentException("ticket is already in use: " + call.ticket());
         }
         queue.add(flow, pending);
+        level.queued();
         queued++;
         if (displaced == null && running >= allowed()) {
             return List.of();
@@ -251,13 +282,15 @@
 
     private List<GuardAction> dispatch(List<GuardAction> actions) {
         while (queued > 0 && running < allowed()) {
-            PendingCall next = poll();
-            queued--;
+            PendingCall next = peek();
             if (hopeless(next.call)) {
-                calls.remove(next.call.ticket());
-                actions.add(refusal(next.call, ErrorKind.DEADLINE_EXCEEDED));
+                evict(next, ErrorKind.DEADLINE_EXCEEDED, actions);
                 continue;
             }
+            next.flow.queue.remove(next);
+            next.level.leftQueue();
+            next.level.started();
+            queued--;
             next.flow.queue.charge(next.flow);
             next.running = true;
             next.startedMillis = nowMillis;
@@ -267,10 +300,10 @@
         return actions;
     }
 
-    private PendingCall poll() {
+    private PendingCall peek() {
         for (FairQueue queue : queues) {
             if (queue.size() > 0) {
-                return queue.poll(newestFirst(queue));
+                return queue.peek(newestFirst(queue));
             }
         }
         throw new IllegalStateException("no call is queued");
@@ -288,12 +321,14 @@
 
     private void evict(PendingCall call, ErrorKind kind, List<GuardAction> actions) {
         leaveQueue(call);
+        call.level.refused(call.call.rank());
         actions.add(refusal(call.call, kind));
     }
 
     private void leaveQueue(PendingCall call) {
         calls.remove(call.call.ticket());
         call.flow.queue.remove(call);
+        call.level.leftQueue();
         queued--;
     }
 
--- a/core/src/main/java/org/trefoilledge/core/overload/GuardedCall.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/GuardedCall.java
@@ -26,4 +26,9 @@
         Objects.requireNonNull(organisation, "organisation");
         Objects.requireNonNull(importance, "importance");
     }
+
+    /** Returns the rank of the root request, see {@link AdmissionLevel}. */
+    int rank() {
+        return AdmissionLevel.rank(importance, rootHash);
+    }
 }
--- a/core/src/main/java/org/trefoilledge/core/overload/PendingCall.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/PendingCall.java
@@ -3,6 +3,7 @@
 /** A queued or running call. Queued calls of one flow form a doubly linked list, so that any one leaves in O(1). */
 final class PendingCall {
     final GuardedCall call;
+    final AdmissionLevel level;
     final long arrivedMillis;
     long startedMillis;
     boolean running;
@@ -10,8 +11,9 @@
     PendingCall older;
     PendingCall newer;
 
-    PendingCall(GuardedCall call, long arrivedMillis) {
+    PendingCall(GuardedCall call, AdmissionLevel level, long arrivedMillis) {
         this.call = call;
+        this.level = level;
         this.arrivedMillis = arrivedMillis;
     }
 }
--- a/core/src/main/java/org/trefoilledge/core/overload/SheddingTable.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/SheddingTable.java
@@ -1,15 +1,18 @@
 package org.trefoilledge.core.overload;
 
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.Importance;
+import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.RouteId;
 
 /**
- * The admission level of each route at an entry node, learned from responses and decayed by age. A call tree is
- * admitted or shed here as a whole. Thread-safe.
+ * The admission level of each route and organisation at an entry node, learned from responses and decayed by age. A
+ * call tree is admitted or shed here as a whole. The methods without an organisation keep one level for all of them.
+ * Thread-safe.
  */
 public final class SheddingTable {
     /** A level that is not confirmed falls to zero within this time, as at the guard. */
@@ -23,23 +26,35 @@
 
     private static final int FULL = AdmissionLevel.RANKS * SCALE;
 
-    /** For each route the level in the upper bits and the time of the last response in the lower bits. */
-    private final ConcurrentMap<RouteId, AtomicLong> levels = new ConcurrentHashMap<>();
+    private static final OrganisationId ALL = new OrganisationId("all");
+
+    /** The level in the upper bits and the time of the last response in the lower bits. */
+    private final ConcurrentMap<RouteId, ConcurrentMap<OrganisationId, AtomicLong>> levels = new ConcurrentHashMap<>();
 
     /** Returns whether a root request is to be served. */
     public boolean admits(RouteId route, Importance importance, int rootHash, long now) {
-        AtomicLong state = levels.get(route);
-        return state == null || AdmissionLevel.rank(importance, rootHash) * SCALE >= decayed(state.get(), now);
+        return admits(route, ALL, importance, rootHash, now);
+    }
+
+    /** Returns whether a root request of the organisation is to be served. */
+    public boolean admits(RouteId route, OrganisationId organisation, Importance importance, int rootHash, long now) {
+        return AdmissionLevel.rank(importance, rootHash) * SCALE >= level(route, organisation, now);
     }
 
     /** Takes over the admission level of a response, the highest of its subtree. */
     public void observe(RouteId route, int admissionLevel, long now) {
-        AtomicLong state = levels.get(route);
+        observe(route, ALL, admissionLevel, now);
+    }
+
+    /** Takes over the admission level of a response to a request of the organisation. */
+    public void observe(RouteId route, OrganisationId organisation, int admissionLevel, long now) {
+        AtomicLong state = state(route, organisation);
         if (state == null) {
             if (admissionLevel <= 0) {
                 return;
             }
-            state = levels.computeIfAbsent(route, r -> new AtomicLong(now & TIME_MASK));
+            state = levels.computeIfAbsent(route, r -> new ConcurrentHashMap<>())
+                    .computeIfAbsent(organisation, o -> new AtomicLong(now & TIME_MASK));
         }
         int seen = Math.min(admissionLevel, AdmissionLevel.RANKS) * SCALE;
         state.updateAndGet(old -> merged(old, seen, now));
@@ -47,12 +62,25 @@
 
     /** Returns how long a shed caller should wait, with jitter; longer for a higher level. */
     public long retryAfterMillis(RouteId route, long now, RandomGenerator random) {
-        AtomicLong state = levels.get(route);
-        int level = state == null ? 0 : decayed(state.get(), now);
-        long base = RETRY_BASE_MILLIS + 3 * RETRY_BASE_MILLIS * level / FULL;
+        return retryAfterMillis(route, ALL, now, random);
+    }
+
+    /** Returns how long a shed caller of the organisation should wait, with jitter. */
+    public long retryAfterMillis(RouteId route, OrganisationId organisation, long now, RandomGenerator random) {
+        long base = RETRY_BASE_MILLIS + 3 * RETRY_BASE_MILLIS * level(route, organisation, now) / FULL;
         return base / 2 + random.nextLong(base);
     }
 
+    private int level(RouteId route, OrganisationId organisation, long now) {
+        AtomicLong state = state(route, organisation);
+        return state == null ? 0 : decayed(state.get(), now);
+    }
+
+    private AtomicLong state(RouteId route, OrganisationId organisation) {
+        Map<OrganisationId, AtomicLong> byOrganisation = levels.get(route);
+        return byOrganisation == null ? null : byOrganisation.get(organisation);
+    }
+
     /**
      * Follows a higher level faster than a lower one: the upstreams of a route differ, and late shedding costs more
      * than a short excess of it.
