Raise the admission level by shares of a large enough window

Cause: the excess of a window was taken off its histogram as a count. A window of 50 ms with few arrivals had empty buckets, which the level skipped, up to the top. With 10 slots and 500 ms a window holds about one call.

Ruled out: the concurrency limit. true-slots and announced did not change.

--- a/core/src/main/java/org/trefoilledge/core/overload/AdmissionLevel.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/AdmissionLevel.java
@@ -16,12 +16,19 @@
     private static final int HASHES = 1024;
     private static final int RANKS_PER_BUCKET = 64;
     private static final long WINDOW_MILLIS = 50;
+    private static final long LONGEST_WINDOW_MILLIS = 500;
+    /** Fewer calls in a window say little about the share that has to be shed. */
+    private static final int WINDOW_CALLS = 32;
+    /** One window sheds at most this share of the calls above the level. */
+    private static final double LARGEST_STEP = 0.9;
+
     private static final long FALL_MILLIS = 2_000;
     /** Refusals up to this share of the calls that run are accepted, so that the queue does not run dry. */
     private static final double OVERSUBSCRIPTION = 0.05;
 
     private final int[] arrivals = new int[RANKS / RANKS_PER_BUCKET];
     private double level;
+    private int arrived;
     private int refused;
     private int started;
     private int queued;
@@ -52,6 +59,7 @@
     void arrived(int rank) {
         if (rank >= level) {
             arrivals[rank / RANKS_PER_BUCKET]++;
+            arrived++;
         }
     }
 
@@ -83,25 +91,27 @@
             windowStartMillis = now;
         }
         long age = now - windowStartMillis;
-        if (age < WINDOW_MILLIS) {
+        int decided = refused + started;
+        if (age < WINDOW_MILLIS || (refused > 0 && decided < WINDOW_CALLS && age < LONGEST_WINDOW_MILLIS)) {
             return;
         }
         double excess = refused - started * OVERSUBSCRIPTION;
         if (excess > 0) {
-            rise(excess);
+            rise(Math.min(LARGEST_STEP, excess / decided));
         } else if (queued == 0) {
             level = Math.max(0, level - (double) RANKS * age / FALL_MILLIS);
         }
         startWindow(now);
     }
 
-    private void rise(double excess) {
+    /** Raises the level by the given share of the calls that arrived above it. */
+    private void rise(double share) {
         int bucket = (int) level / RANKS_PER_BUCKET;
-        double left = excess;
+        double left = share * arrived;
         while (left > 0 && bucket < arrivals.length) {
-            double share = arrivals[bucket] == 0 ? 1 : Math.min(1, left / arrivals[bucket]);
+            double part = arrivals[bucket] == 0 ? 1 : Math.min(1, left / arrivals[bucket]);
             double top = (bucket + 1) * RANKS_PER_BUCKET;
-            level += (top - level) * share;
+            level += (top - level) * part;
             left -= arrivals[bucket];
             bucket++;
         }
@@ -110,6 +120,7 @@
 
     private void startWindow(long now) {
         windowStartMillis = now;
+        arrived = 0;
         refused = 0;
         started = 0;
         Arrays.fill(arrivals, 0);
