--- a/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
@@ -17,9 +17,6 @@
     /** Latency under the baseline times this factor leaves room for fast growth. */
     private static final double CALM = 1.3;
 
-    /** After the start, the calls that have ended are mostly short ones until several service times have passed. */
-    private static final double SETTLING_SERVICE_TIMES = 5;
-
     private static final double DEEPEST_CUT = 0.5;
     private static final double LIGHTEST_CUT = 0.75;
     private static final long RAISED_BASELINE_MILLIS = 10_000;
@@ -121,8 +118,7 @@
         double latency = latencySum / samples;
         double throughput = (double) samples / (now - windowStartMillis);
         startWindow(now);
-        boolean settled = now - coldSinceMillis >= SETTLING_SERVICE_TIMES * latency;
-        if (adaptive && settled) {
+        if (adaptive) {
             adapt(latency, throughput, now);
         }
     }
