--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/CallerGroup.java
@@ -0,0 +1,38 @@
+package org.trefoilledge.load;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * The callers of one organisation.
+ *
+ * @param key the key they present, empty for none
+ * @param rate root requests per second that they send before the shape is applied
+ * @param entitledRate the organisation's rate in the inventory, 0 if unknown
+ * @param entitledBurst the organisation's burst in the inventory, 0 if unknown
+ */
+record CallerGroup(
+        String organisation,
+        String key,
+        double rate,
+        double entitledRate,
+        double entitledBurst,
+        RetryRule retry,
+        RateShape shape,
+        List<RouteLoad> mix) {
+    CallerGroup {
+        mix = List.copyOf(mix);
+    }
+
+    RouteLoad pick(RandomGenerator random) {
+        double left = random.nextDouble()
+                * mix.stream().mapToDouble(RouteLoad::weight).sum();
+        for (RouteLoad route : mix) {
+            left -= route.weight();
+            if (left < 0) {
+                return route;
+            }
+        }
+        return mix.get(mix.size() - 1);
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/CsvReport.java
@@ -0,0 +1,56 @@
+package org.trefoilledge.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** Tables as comma-separated values. */
+final class CsvReport {
+    private CsvReport() {}
+
+    static String seconds(TimeSeries series) {
+        List<String> heads = new ArrayList<>(List.of("second", "sent", "whole", "p50_ms", "p99_ms"));
+        heads.addAll(series.notWhole().keySet());
+        series.wholeOf().keySet().forEach(o -> heads.add("whole:" + o));
+        StringBuilder text = new StringBuilder(String.join(",", heads)).append('\n');
+        for (int i = 0; i < series.seconds(); i++) {
+            List<String> cells = new ArrayList<>(List.of(
+                    Integer.toString(i),
+                    count(series.sent()[i]),
+                    count(series.whole()[i]),
+                    String.format(Locale.ROOT, "%.3f", series.p50Millis()[i]),
+                    String.format(Locale.ROOT, "%.3f", series.p99Millis()[i])));
+            for (Map<String, double[]> columns : List.of(series.notWhole(), series.wholeOf())) {
+                for (double[] column : columns.values()) {
+                    cells.add(count(column[i]));
+                }
+            }
+            text.append(String.join(",", cells)).append('\n');
+        }
+        return text.toString();
+    }
+
+    static String organisations(Figures figures) {
+        String head = "organisation,sent,whole,entitled,ratio,rate_limited,wrongful,within\n";
+        return head
+                + figures.organisations().stream()
+                        .map(o -> String.format(
+                                Locale.ROOT,
+                                "%s,%d,%d,%.1f,%.4f,%d,%d,%d%n",
+                                o.organisation(),
+                                o.sent(),
+                                o.whole(),
+                                o.entitled(),
+                                o.ratio(),
+                                o.rateLimited(),
+                                o.wrongful().wrongful(),
+                                o.wrongful().within()))
+                        .collect(Collectors.joining());
+    }
+
+    private static String count(double value) {
+        return Long.toString(Math.round(value));
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/Deployment.java
@@ -0,0 +1,285 @@
+package org.trefoilledge.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.trefoilledge.core.config.Inventory;
+import org.trefoilledge.platform.SettingsException;
+
+/** A whole deployment as processes on loopback: store stand-in, one node and one upstream stand-in per host. */
+final class Deployment implements AutoCloseable {
+    private static final String STANDIN_OPTIONS = "-Xmx128m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k";
+    private static final String NODE_OPTIONS = "-Xmx256m -XX:+UseSerialGC";
+    private static final long STORE_MILLIS = 20_000;
+    private static final long APPLY_MILLIS = 60_000;
+    private static final long READY_MILLIS = 90_000;
+    private static final long POLL_MILLIS = 200;
+    /** Spreads the start of the Java runtimes, whose first seconds take most of a core each. */
+    private static final long START_GAP_MILLIS = 100;
+
+    private final DeploymentSettings settings;
+    private final Profile profile;
+    private final Path directory;
+    private final Path home;
+    private final PortPlan ports;
+    private final List<Host> hosts;
+    private final Inventory inventory;
+    private final ProcessGroup processes;
+    private final Control control;
+
+    Deployment(DeploymentSettings settings, Profile profile, Path directory, Control control)
+            throws SettingsException, IOException {
+        this.settings = settings;
+        this.profile = profile;
+        this.directory = Files.createDirectories(directory);
+        this.home = Home.path();
+        this.control = control;
+        this.ports = new PortPlan(settings.basePort());
+        this.hosts = Host.limit(Host.read(settings.hosts()), settings.hostsPerService()).stream()
+                .map(host -> host.scaled(settings.slotsFactor(), settings.connectionsFactor()))
+                .toList();
+        this.inventory = InventoryFile.forLoad(InventoryFile.read(settings.inventory()), settings.rateFactor());
+        this.processes = new ProcessGroup(directory);
+    }
+
+    /**
+     * Starts everything and waits until every node has the inventory and sees all members.
+     *
+     * @throws StartException if something does not start; its message names the reason and the log directory
+     */
+    void start() throws StartException, InterruptedException {
+        try {
+            startStore();
+            apply();
+            startHosts();
+            awaitReady();
+        } catch (IOException e) {
+            throw new StartException(e.getMessage(), directory);
+        }
+    }
+
+    private void startStore() throws IOException, StartException, InterruptedException {
+        String script = script("trefoilledge-standin");
+        start("store", List.of(script, "store", "--listen", ports.store()), STANDIN_OPTIONS);
+        long until = deadline(STORE_MILLIS);
+        while (!Control.listening(ports.store())) {
+            check("store", until, "the store stand-in does not listen on " + ports.store());
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    private void apply() throws IOException, StartException, InterruptedException {
+        Path file = Files.writeString(directory.resolve("inventory.toml"), InventoryFile.toml(inventory));
+        Path log = directory.resolve("apply.log");
+        Process process = new ProcessBuilder(
+                        script("trefoilledge"), "apply", "--store", "http://" + ports.store(), file.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(log.toFile())
+                .start();
+        boolean ended = process.waitFor(APPLY_MILLIS, TimeUnit.MILLISECONDS);
+        if (!ended) {
+            process.destroyForcibly();
+        }
+        if (!ended || process.exitValue() != 0) {
+            String status = ended ? "ended with status " + process.exitValue() : "did not end";
+            throw new StartException("apply " + status + ": " + lastLine(log), directory);
+        }
+    }
+
+    private void startHosts() throws IOException, InterruptedException {
+        List<String> seeds = seeds();
+        for (int i = 0; i < hosts.size(); i++) {
+            Host host = hosts.get(i);
+            Path file = directory.resolve("node-" + host.id() + ".toml");
+            Files.writeString(
+                    file,
+                    NodeSettings.toml(host, i, inventory.deployment(), ports, seeds, profile, settings.faults()));
+            start(
+                    "node:" + host.id(),
+                    List.of(script("trefoilledge-node"), "--config", file.toString()),
+                    NODE_OPTIONS);
+            Thread.sleep(START_GAP_MILLIS);
+        }
+        for (int i = 0; i < hosts.size(); i++) {
+            start("upstream:" + hosts.get(i).id(), upstreamCommand(i), STANDIN_OPTIONS);
+            Thread.sleep(START_GAP_MILLIS);
+        }
+    }
+
+    /** One seed in each zone is enough to find all members, also while a zone is cut off. */
+    private List<String> seeds() {
+        List<String> seeds = new ArrayList<>();
+        Set<String> zones = new HashSet<>();
+        for (int i = 0; i < hosts.size(); i++) {
+            if (zones.add(hosts.get(i).zone())) {
+                seeds.add(ports.peers(i));
+            }
+        }
+        return seeds;
+    }
+
+    private List<String> upstreamCommand(int index) {
+        Host host = hosts.get(index);
+        UpstreamSettings upstream = settings.upstream(host.service());
+        List<String> command = new ArrayList<>(List.of(
+                script("trefoilledge-standin"),
+                "upstream",
+                "--listen",
+                ports.upstream(index),
+                "--node",
+                ports.local(index),
+                "--host",
+                host.id(),
+                "--service",
+                host.service(),
+                "--slots",
+                Integer.toString(host.slots()),
+                "--connections",
+                Integer.toString(host.connections()),
+                "--service-time-ms",
+                number(upstream.serviceTimeMillis()),
+                "--service-time-spread",
+                Double.toString(upstream.serviceTimeSpread())));
+        for (String call : upstream.calls()) {
+            command.add("--calls");
+            command.add(call);
+        }
+        return command;
+    }
+
+    private static String number(double value) {
+        return value == Math.rint(value) ? Long.toString((long) value) : Double.toString(value);
+    }
+
+    private void awaitReady() throws StartException, InterruptedException {
+        long until = deadline(READY_MILLIS);
+        for (int i = 0; i < hosts.size(); i++) {
+            String name = "node:" + hosts.get(i).id();
+            String problem = problem(i);
+            while (!problem.isEmpty()) {
+                check(name, until, name + " is not ready: " + problem);
+                check("upstream:" + hosts.get(i).id(), until, "the upstream ended");
+                Thread.sleep(POLL_MILLIS);
+                problem = problem(i);
+            }
+        }
+    }
+
+    /** Returns why a node is not ready, empty if it is. */
+    private String problem(int index) {
+        try {
+            JsonNode status = control.get("http://" + ports.operators(index) + "/status");
+            return Readiness.problem(status, hosts.size());
+        } catch (IOException e) {
+            return "no status: " + e.getMessage();
+        }
+    }
+
+    private void check(String process, long until, String problem) throws StartException {
+        if (!processes.alive(process)) {
+            throw new StartException(process + " ended: " + lastLine(processes.log(process)), directory);
+        }
+        if (System.nanoTime() > until) {
+            throw new StartException(problem, directory);
+        }
+    }
+
+    private static String lastLine(Path log) {
+        try {
+            List<String> lines = Files.readAllLines(log);
+            return lines.isEmpty() ? "no output" : lines.get(lines.size() - 1);
+        } catch (IOException e) {
+            return "no log";
+        }
+    }
+
+    private static long deadline(long millis) {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private void start(String name, List<String> command, String options) throws IOException {
+        processes.start(new ProcessGroup.ProcessSpec(name, command, options));
+    }
+
+    private String script(String name) {
+        return home.resolve("bin").resolve(name).toString();
+    }
+
+    Inventory inventory() {
+        return inventory;
+    }
+
+    ProcessGroup processes() {
+        return processes;
+    }
+
+    List<String> callerAddresses() {
+        List<String> addresses = new ArrayList<>();
+        for (int i = 0; i < hosts.size(); i++) {
+            addresses.add(ports.callers(i));
+        }
+        return addresses;
+    }
+
+    /**
+     * Returns the control address of each target: {@code node:ID} is the operators' port of that host's node,
+     * {@code upstream:ID} its upstream, {@code store} the store; an ID may end in {@code *}, and {@code @ZONE} or
+     * {@code =SERVICE} select hosts by zone or service.
+     */
+    List<String> addresses(String target) {
+        if (target.equals("store")) {
+            return List.of(ports.store());
+        }
+        List<String> found = new ArrayList<>();
+        for (int i = 0; i < hosts.size(); i++) {
+            if (HostPattern.matches(target, "node", hosts.get(i))) {
+                found.add(ports.operators(i));
+            }
+            if (HostPattern.matches(target, "upstream", hosts.get(i))) {
+                found.add(ports.upstream(i));
+            }
+        }
+        return found;
+    }
+
+    /** Returns the names of the processes that a target selects. */
+    List<String> processNames(String target) {
+        if (target.equals("store")) {
+            return List.of("store");
+        }
+        List<String> found = new ArrayList<>();
+        for (Host host : hosts) {
+            for (String kind : List.of("node", "upstream")) {
+                if (HostPattern.matches(target, kind, host)) {
+                    found.add(kind + ":" + host.id());
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Collects what the upstreams executed; an upstream that does not respond counts as having executed nothing. */
+    WastedExecutions wasted(Set<Long> wholeRoots) {
+        List<WastedExecutions> parts = new ArrayList<>();
+        for (int i = 0; i < hosts.size(); i++) {
+            try {
+                parts.add(WastedExecutions.of(
+                        control.get("http://" + ports.upstream(i) + "/.standin/executions"), wholeRoots));
+            } catch (IOException e) {
+                System.err.println("no executions from the upstream of " + hosts.get(i).id() + ": " + e.getMessage());
+            }
+        }
+        return WastedExecutions.sum(parts);
+    }
+
+    @Override
+    public void close() {
+        processes.close();
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/Driver.java
@@ -0,0 +1,176 @@
+package org.trefoilledge.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/**
+ * Sends the load of an experiment. The intended send times are fixed in advance (open loop); latency is counted from
+ * them, so a stalled system does not hide its delay.
+ */
+final class Driver implements AutoCloseable {
+    private static final int CONNECTIONS_PER_NODE = 1_024;
+    private static final int CLIENT_THREADS = 24;
+    private static final int MAX_REDIRECTS = 0;
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final Experiment experiment;
+    private final Journal journal;
+    private final HttpClient client;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "load-retries");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private long startNanos;
+
+    Driver(Experiment experiment, Journal journal) throws Exception {
+        this.experiment = experiment;
+        this.journal = journal;
+        this.client = newClient();
+    }
+
+    private static HttpClient newClient() throws Exception {
+        HttpClient client = new HttpClient();
+        QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS);
+        threads.setDaemon(true);
+        threads.setName("load-client");
+        client.setExecutor(threads);
+        client.setMaxConnectionsPerDestination(CONNECTIONS_PER_NODE);
+        client.setMaxRequestsQueuedPerDestination(CONNECTIONS_PER_NODE * 8);
+        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setMaxRedirects(MAX_REDIRECTS);
+        client.start();
+        return client;
+    }
+
+    private record Source(CallerGroup group, Arrivals arrivals, SplittableRandom random, double next) {
+        Source advance() {
+            return new Source(group, arrivals, random, arrivals.next());
+        }
+    }
+
+    /** Starts the clock of the run. Times of requests and actions count from here. */
+    void start() {
+        startNanos = System.nanoTime();
+    }
+
+    /**
+     * Sends requests until the duration of the experiment is over, then waits for the open ones up to their deadline.
+     *
+     * @throws InterruptedException if the thread is interrupted; requests stop then
+     */
+    void run() throws InterruptedException {
+        PriorityQueue<Source> sources = new PriorityQueue<>(Comparator.comparingDouble(Source::next));
+        sources.addAll(sources());
+        long root = 0;
+        while (!sources.isEmpty() && sources.peek().next() < experiment.durationSeconds()) {
+            Source source = sources.poll();
+            waitUntil(source.next());
+            launch(root++, source);
+            sources.add(source.advance());
+        }
+        waitUntil(experiment.durationSeconds());
+        waitForOpenRequests();
+    }
+
+    private List<Source> sources() {
+        SplittableRandom seeds = new SplittableRandom(experiment.seed());
+        List<Source> sources = new ArrayList<>();
+        for (CallerGroup group : experiment.groups()) {
+            SplittableRandom random = seeds.split();
+            Arrivals arrivals = new Arrivals(group.rate(), group.shape(), experiment.uniform(), seeds.split());
+            if (group.rate() > 0) {
+                sources.add(new Source(group, arrivals, random, arrivals.next()));
+            }
+        }
+        return sources;
+    }
+
+    private void launch(long root, Source source) {
+        RouteLoad route = source.group().pick(source.random());
+        Caller caller = new Caller(
+                this,
+                root,
+                source.group(),
+                route,
+                source.next(),
+                source.random().split());
+        caller.attempt();
+    }
+
+    private void waitUntil(double seconds) throws InterruptedException {
+        long until = startNanos + (long) (seconds * 1e9);
+        while (System.nanoTime() < until) {
+            if (Thread.interrupted()) {
+                throw new InterruptedException("the run was interrupted");
+            }
+            LockSupport.parkNanos(until - System.nanoTime());
+        }
+    }
+
+    private void waitForOpenRequests() throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * experiment.deadlineMillis());
+        while (inFlight.get() > 0 && System.nanoTime() < until) {
+            Thread.sleep(10);
+        }
+    }
+
+    Experiment experiment() {
+        return experiment;
+    }
+
+    Journal journal() {
+        return journal;
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    long micros() {
+        return (System.nanoTime() - startNanos) / 1_000;
+    }
+
+    double seconds() {
+        return micros() / 1e6;
+    }
+
+    /** Takes one of the places for waiting attempts; false if none is free. */
+    boolean enter() {
+        if (inFlight.incrementAndGet() <= experiment.maxInFlight()) {
+            return true;
+        }
+        inFlight.decrementAndGet();
+        return false;
+    }
+
+    void leave() {
+        inFlight.decrementAndGet();
+    }
+
+    boolean over() {
+        return seconds() >= experiment.durationSeconds();
+    }
+
+    void later(Duration delay, Runnable task) {
+        var unused = timer.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() throws Exception {
+        timer.shutdownNow();
+        client.stop();
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/NodeSettings.java
@@ -0,0 +1,37 @@
+package org.trefoilledge.load;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Writes the settings file of a node. */
+final class NodeSettings {
+    /** Bounds how long a node that is being stopped may keep the end of a run waiting. */
+    private static final int DRAIN_MILLIS = 3_000;
+
+    private NodeSettings() {}
+
+    static String toml(
+            Host host, int index, String deployment, PortPlan ports, List<String> seeds, Profile profile, boolean faults) {
+        String quotedSeeds = seeds.stream().map(NodeSettings::quoted).collect(Collectors.joining(", "));
+        StringBuilder text = new StringBuilder()
+                .append("host = " + quoted(host.id()) + "\n")
+                .append("zone = " + quoted(host.zone()) + "\n")
+                .append("deployment = " + quoted(deployment) + "\n\n[listen]\n")
+                .append("callers = " + quoted(ports.callers(index)) + "\n")
+                .append("local = " + quoted(ports.local(index)) + "\n")
+                .append("peers = " + quoted(ports.peers(index)) + "\n")
+                .append("operators = " + quoted(ports.operators(index)) + "\n\n[store]\n")
+                .append("endpoints = [" + quoted("http://" + ports.store()) + "]\n\n[peers]\n")
+                .append("seeds = [" + quotedSeeds + "]\n\n[limits]\n")
+                .append("drain-timeout-ms = " + DRAIN_MILLIS + "\n\n")
+                .append(profile.policyToml());
+        if (faults) {
+            text.append("\n[faults]\nenabled = true\n");
+        }
+        return text.toString();
+    }
+
+    private static String quoted(String text) {
+        return '"' + text + '"';
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/RateShape.java
@@ -0,0 +1,39 @@
+package org.trefoilledge.load;
+
+import java.util.List;
+
+/** Multiplier of a rate over time: each step holds from its time to the next step; before the first step it is 1. */
+record RateShape(List<Step> steps) {
+    static final RateShape FLAT = new RateShape(List.of());
+
+    record Step(double atSeconds, double multiplier) {}
+
+    RateShape {
+        steps = List.copyOf(steps);
+        for (int i = 1; i < steps.size(); i++) {
+            if (steps.get(i).atSeconds() <= steps.get(i - 1).atSeconds()) {
+                throw new IllegalArgumentException("steps must have increasing times");
+            }
+        }
+    }
+
+    double multiplier(double seconds) {
+        double found = 1;
+        for (Step step : steps) {
+            if (step.atSeconds() <= seconds) {
+                found = step.multiplier();
+            }
+        }
+        return found;
+    }
+
+    /** Returns the time of the first step after the given time, infinity if there is none. */
+    double nextStep(double seconds) {
+        for (Step step : steps) {
+            if (step.atSeconds() > seconds) {
+                return step.atSeconds();
+            }
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/RootRequest.java
@@ -0,0 +1,35 @@
+package org.trefoilledge.load;
+
+import org.trefoilledge.core.Importance;
+
+/**
+ * A finished root request with the result of its last attempt. Times are microseconds since the start of the run.
+ *
+ * @param intendedMicros when the caller meant to send it; latency is counted from here
+ */
+record RootRequest(
+        long id,
+        String organisation,
+        String route,
+        Importance importance,
+        long intendedMicros,
+        long endMicros,
+        int attempts,
+        Result result) {
+
+    boolean whole() {
+        return result.whole();
+    }
+
+    long latencyMicros() {
+        return endMicros - intendedMicros;
+    }
+
+    double intendedSeconds() {
+        return intendedMicros / 1e6;
+    }
+
+    double endSeconds() {
+        return endMicros / 1e6;
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/RouteLoad.java
@@ -0,0 +1,32 @@
+package org.trefoilledge.load;
+
+import java.util.random.RandomGenerator;
+import org.trefoilledge.core.Importance;
+
+/**
+ * One route of the mix.
+ *
+ * @param path path of the request; {@code {n}} is replaced by a random number from 0 to 999
+ * @param importance importance under which the report counts the request
+ * @param weight share of the mix, relative to the other routes
+ * @param idempotencyKey whether requests carry an {@code Idempotency-Key} with a UUIDv7
+ * @param echo text that a whole answer contains; {@code {path}} stands for the path sent, empty for no check
+ */
+record RouteLoad(
+        String id,
+        String method,
+        String path,
+        String body,
+        Importance importance,
+        double weight,
+        boolean idempotencyKey,
+        String echo) {
+
+    String concretePath(RandomGenerator random) {
+        return path.replace("{n}", Integer.toString(random.nextInt(1000)));
+    }
+
+    String expectedEcho(String sentPath, String sentBody) {
+        return echo.replace("{path}", sentPath).replace("{body}", sentBody);
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/TimeSeries.java
@@ -0,0 +1,81 @@
+package org.trefoilledge.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What happened in each second of a run. Sent requests count at their intended send time, everything else when it
+ * ended.
+ *
+ * @param whole whole answers
+ * @param notWhole attempts that were not answered whole, by label
+ * @param wholeOf whole answers by organisation
+ */
+record TimeSeries(
+        int seconds,
+        double[] sent,
+        double[] whole,
+        double[] p50Millis,
+        double[] p99Millis,
+        Map<String, double[]> notWhole,
+        Map<String, double[]> wholeOf) {
+    private static final int DIGITS = 3;
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    static TimeSeries of(double durationSeconds, List<RootRequest> roots, List<Attempt> attempts) {
+        int seconds = (int) Math.ceil(durationSeconds);
+        double[] sent = new double[seconds];
+        double[] whole = new double[seconds];
+        Map<String, double[]> wholeOf = new TreeMap<>();
+        List<Histogram> latencies = new ArrayList<>();
+        for (int i = 0; i < seconds; i++) {
+            latencies.add(new Histogram(DIGITS));
+        }
+        for (RootRequest root : roots) {
+            add(sent, root.intendedSeconds());
+            double[] own = wholeOf.computeIfAbsent(root.organisation(), o -> new double[seconds]);
+            if (root.whole() && add(whole, root.endSeconds())) {
+                add(own, root.endSeconds());
+                latencies.get((int) root.endSeconds()).recordValue(Math.max(0, root.latencyMicros()));
+            }
+        }
+        return new TimeSeries(
+                seconds,
+                sent,
+                whole,
+                percentile(latencies, 50),
+                percentile(latencies, 99),
+                notWhole(attempts, seconds),
+                wholeOf);
+    }
+
+    private static Map<String, double[]> notWhole(List<Attempt> attempts, int seconds) {
+        Map<String, double[]> series = new TreeMap<>();
+        for (Attempt attempt : attempts) {
+            if (!attempt.result().whole()) {
+                add(
+                        series.computeIfAbsent(attempt.result().label(), l -> new double[seconds]),
+                        attempt.endMicros() / 1e6);
+            }
+        }
+        return series;
+    }
+
+    private static boolean add(double[] series, double seconds) {
+        int index = (int) Math.floor(seconds);
+        if (index < 0 || index >= series.length) {
+            return false;
+        }
+        series[index]++;
+        return true;
+    }
+
+    private static double[] percentile(List<Histogram> latencies, double percentile) {
+        return latencies.stream()
+                .mapToDouble(h -> h.getValueAtPercentile(percentile) / MICROS_PER_MILLI)
+                .toArray();
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/TimedAction.java
@@ -0,0 +1,40 @@
+package org.trefoilledge.load;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Something that happens at a given time of the run.
+ *
+ * @param kind what happens
+ * @param targets control endpoints for {@link Kind#PUT}, else process names or patterns such as {@code node:*}
+ * @param body body of the PUT request
+ */
+record TimedAction(double atSeconds, Kind kind, List<String> targets, String body) {
+    /** What an action does. */
+    enum Kind {
+        PUT,
+        START,
+        STOP,
+        KILL,
+        FREEZE,
+        RESUME;
+
+        String key() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    TimedAction {
+        targets = List.copyOf(targets);
+    }
+
+    static boolean isAddress(String target) {
+        try {
+            return URI.create(target).getHost() != null;
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/trefoilledge/load/UpstreamSettings.java
@@ -0,0 +1,14 @@
+package org.trefoilledge.load;
+
+import java.util.List;
+
+/**
+ * How the upstream stand-ins of one service behave.
+ *
+ * @param calls requests that each execution makes to other services, for example {@code GET /stock/{n}}
+ */
+record UpstreamSettings(String service, double serviceTimeMillis, double serviceTimeSpread, List<String> calls) {
+    UpstreamSettings {
+        calls = List.copyOf(calls);
+    }
+}
