--- a/load/src/main/java/org/trefoilledge/load/ActionRunner.java
+++ b/load/src/main/java/org/trefoilledge/load/ActionRunner.java
@@ -42,8 +42,13 @@
         for (String target : action.targets()) {
             try {
                 int count = perform(action, target);
-                out.printf(Locale.ROOT, "action at %.1f s: %s %s (%d)%n", action.atSeconds(), action.kind().key(),
-                        target, count);
+                out.printf(
+                        Locale.ROOT,
+                        "action at %.1f s: %s %s (%d)%n",
+                        action.atSeconds(),
+                        action.kind().key(),
+                        target,
+                        count);
             } catch (IOException e) {
                 String failure = action.kind().key() + " " + target + ": " + e.getMessage();
                 failures.add(failure);
--- a/load/src/main/java/org/trefoilledge/load/Control.java
+++ b/load/src/main/java/org/trefoilledge/load/Control.java
@@ -35,8 +35,7 @@
         int colon = address.lastIndexOf(':');
         try (Socket socket = new Socket()) {
             socket.connect(
-                    new InetSocketAddress(
-                            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+                    new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
                     CONNECT_MILLIS);
             return true;
         } catch (IOException e) {
--- a/load/src/main/java/org/trefoilledge/load/CsvReport.java
+++ b/load/src/main/java/org/trefoilledge/load/CsvReport.java
@@ -18,13 +18,13 @@
         for (int i = 0; i < series.seconds(); i++) {
             List<String> cells = new ArrayList<>(List.of(
                     Integer.toString(i),
-                    count(series.sent()[i]),
-                    count(series.whole()[i]),
-                    String.format(Locale.ROOT, "%.3f", series.p50Millis()[i]),
-                    String.format(Locale.ROOT, "%.3f", series.p99Millis()[i])));
-            for (Map<String, double[]> columns : List.of(series.notWhole(), series.wholeOf())) {
-                for (double[] column : columns.values()) {
-                    cells.add(count(column[i]));
+                    count(series.sent().get(i)),
+                    count(series.whole().get(i)),
+                    String.format(Locale.ROOT, "%.3f", series.p50Millis().get(i)),
+                    String.format(Locale.ROOT, "%.3f", series.p99Millis().get(i))));
+            for (Map<String, List<Double>> columns : List.of(series.notWhole(), series.wholeOf())) {
+                for (List<Double> column : columns.values()) {
+                    cells.add(count(column.get(i)));
                 }
             }
             text.append(String.join(",", cells)).append('\n');
--- a/load/src/main/java/org/trefoilledge/load/Deployment.java
+++ b/load/src/main/java/org/trefoilledge/load/Deployment.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.trefoilledge.core.config.Inventory;
+import org.trefoilledge.platform.InventoryFile;
 import org.trefoilledge.platform.SettingsException;
 
 /** A whole deployment as processes on loopback: store stand-in, one node and one upstream stand-in per host. */
@@ -44,7 +45,8 @@
         this.hosts = Host.limit(Host.read(settings.hosts()), settings.hostsPerService()).stream()
                 .map(host -> host.scaled(settings.slotsFactor(), settings.connectionsFactor()))
                 .toList();
-        this.inventory = InventoryFile.forLoad(InventoryFile.read(settings.inventory()), settings.rateFactor());
+        this.inventory =
+                ScaledInventory.scale(InventoryFile.read(settings.inventory()).inventory(), settings.rateFactor());
         this.processes = new ProcessGroup(directory);
     }
 
@@ -75,7 +77,7 @@
     }
 
     private void apply() throws IOException, StartException, InterruptedException {
-        Path file = Files.writeString(directory.resolve("inventory.toml"), InventoryFile.toml(inventory));
+        Path file = Files.writeString(directory.resolve("inventory.toml"), ScaledInventory.toml(inventory));
         Path log = directory.resolve("apply.log");
         Process process = new ProcessBuilder(
                         script("trefoilledge"), "apply", "--store", "http://" + ports.store(), file.toString())
@@ -98,12 +100,8 @@
             Host host = hosts.get(i);
             Path file = directory.resolve("node-" + host.id() + ".toml");
             Files.writeString(
-                    file,
-                    NodeSettings.toml(host, i, inventory.deployment(), ports, seeds, profile, settings.faults()));
-            start(
-                    "node:" + host.id(),
-                    List.of(script("trefoilledge-node"), "--config", file.toString()),
-                    NODE_OPTIONS);
+                    file, NodeSettings.toml(host, i, inventory.deployment(), ports, seeds, profile, settings.faults()));
+            start("node:" + host.id(), List.of(script("trefoilledge-node"), "--config", file.toString()), NODE_OPTIONS);
             Thread.sleep(START_GAP_MILLIS);
         }
         for (int i = 0; i < hosts.size(); i++) {
@@ -272,7 +270,8 @@
                 parts.add(WastedExecutions.of(
                         control.get("http://" + ports.upstream(i) + "/.standin/executions"), wholeRoots));
             } catch (IOException e) {
-                System.err.println("no executions from the upstream of " + hosts.get(i).id() + ": " + e.getMessage());
+                System.err.println(
+                        "no executions from the upstream of " + hosts.get(i).id() + ": " + e.getMessage());
             }
         }
         return WastedExecutions.sum(parts);
--- a/load/src/main/java/org/trefoilledge/load/ExperimentRunner.java
+++ b/load/src/main/java/org/trefoilledge/load/ExperimentRunner.java
@@ -107,12 +107,11 @@
             double defaultRate = organisation.rate() * defaults.loadFactor();
             CallerGroup group = listed.remove(id.value());
             if (group == null) {
-                group = new CallerGroup(
-                        id.value(), "", 0, 0, 0, defaults.retry(), defaults.shape(), defaults.mix());
+                group = new CallerGroup(id.value(), "", 0, 0, 0, defaults.retry(), defaults.shape(), defaults.mix());
             }
             groups.add(new CallerGroup(
                     id.value(),
-                    group.key().isEmpty() ? InventoryFile.key(id.value()) : group.key(),
+                    group.key().isEmpty() ? ScaledInventory.key(id.value()) : group.key(),
                     group.rate() > 0 ? group.rate() : defaultRate,
                     organisation.rate(),
                     organisation.burst(),
--- a/load/src/main/java/org/trefoilledge/load/Figures.java
+++ b/load/src/main/java/org/trefoilledge/load/Figures.java
@@ -130,7 +130,7 @@
             demand.put(group.organisation(), Math.min(own.size(), allowed));
             weight.put(group.organisation(), group.entitledRate() > 0 ? group.entitledRate() : 1.0);
         }
-        return FairShare.divide(served, demand, weight);
+        return FairShare.divide((double) served, demand, weight);
     }
 
     WrongfulRefusals wrongful() {
--- a/load/src/main/java/org/trefoilledge/load/Host.java
+++ b/load/src/main/java/org/trefoilledge/load/Host.java
@@ -35,8 +35,9 @@
      */
     static List<Host> limit(List<Host> hosts, int perService) {
         Map<String, List<Host>> byService = new LinkedHashMap<>();
-        hosts.forEach(host ->
-                byService.computeIfAbsent(host.service(), s -> new ArrayList<>()).add(host));
+        hosts.forEach(host -> byService
+                .computeIfAbsent(host.service(), s -> new ArrayList<>())
+                .add(host));
         List<Host> chosen = new ArrayList<>();
         int offset = 0;
         for (List<Host> own : byService.values()) {
@@ -50,11 +51,7 @@
     }
 
     Host scaled(double slotsFactor, double connectionsFactor) {
-        return new Host(
-                id,
-                zone,
-                service,
-                (int) Math.max(1, Math.round(slots * slotsFactor)),
-                (int) Math.max(4, Math.round(connections * connectionsFactor)));
+        return new Host(id, zone, service, (int) Math.max(1, Math.round(slots * slotsFactor)), (int)
+                Math.max(4, Math.round(connections * connectionsFactor)));
     }
 }
--- a/load/src/main/java/org/trefoilledge/load/HostPattern.java
+++ b/load/src/main/java/org/trefoilledge/load/HostPattern.java
@@ -18,8 +18,6 @@
     }
 
     private static boolean matchesId(String pattern, String id) {
-        return pattern.endsWith("*")
-                ? id.startsWith(pattern.substring(0, pattern.length() - 1))
-                : pattern.equals(id);
+        return pattern.endsWith("*") ? id.startsWith(pattern.substring(0, pattern.length() - 1)) : pattern.equals(id);
     }
 }
--- a/load/src/main/java/org/trefoilledge/load/Html.java
+++ b/load/src/main/java/org/trefoilledge/load/Html.java
@@ -5,6 +5,9 @@
     private Html() {}
 
     static String escape(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 }
--- a/load/src/main/java/org/trefoilledge/load/HtmlReport.java
+++ b/load/src/main/java/org/trefoilledge/load/HtmlReport.java
@@ -30,8 +30,8 @@
 
     private static void table(StringBuilder page, List<ProfileRun> runs) {
         page.append("<table><tr><th></th>");
-        runs.forEach(run ->
-                page.append("<th>").append(Html.escape(run.profile())).append("</th>"));
+        runs.forEach(
+                run -> page.append("<th>").append(Html.escape(run.profile())).append("</th>"));
         page.append("</tr>\n");
         for (SummaryTable.Row row : SummaryTable.rows(runs)) {
             page.append("<tr><td>").append(Html.escape(row.name())).append("</td>");
@@ -41,8 +41,8 @@
         page.append("</table>\n");
     }
 
-    private static Map<String, double[]> goodput(List<ProfileRun> runs) {
-        Map<String, double[]> series = new TreeMap<>();
+    private static Map<String, List<Double>> goodput(List<ProfileRun> runs) {
+        Map<String, List<Double>> series = new TreeMap<>();
         runs.forEach(run -> series.put(run.profile(), run.series().whole()));
         series.put("sent", runs.get(0).series().sent());
         return series;
--- a/load/src/main/java/org/trefoilledge/load/NodeSettings.java
+++ b/load/src/main/java/org/trefoilledge/load/NodeSettings.java
@@ -11,7 +11,13 @@
     private NodeSettings() {}
 
     static String toml(
-            Host host, int index, String deployment, PortPlan ports, List<String> seeds, Profile profile, boolean faults) {
+            Host host,
+            int index,
+            String deployment,
+            PortPlan ports,
+            List<String> seeds,
+            Profile profile,
+            boolean faults) {
         String quotedSeeds = seeds.stream().map(NodeSettings::quoted).collect(Collectors.joining(", "));
         StringBuilder text = new StringBuilder()
                 .append("host = " + quoted(host.id()) + "\n")
--- a/load/src/main/java/org/trefoilledge/load/RunCommand.java
+++ b/load/src/main/java/org/trefoilledge/load/RunCommand.java
@@ -23,7 +23,10 @@
     @Parameters(paramLabel = "EXPERIMENT.toml", description = "the experiment file, see docs/load.md")
     private Path file;
 
-    @Option(names = "--report", paramLabel = "DIR", description = "directory of the report (default: reports/NAME-TIME)")
+    @Option(
+            names = "--report",
+            paramLabel = "DIR",
+            description = "directory of the report (default: reports/NAME-TIME)")
     private Path report;
 
     @Option(names = "--seed", paramLabel = "N", description = "seed of the random source, instead of the file's")
--- a/load/src/main/java/org/trefoilledge/load/SummaryTable.java
+++ b/load/src/main/java/org/trefoilledge/load/SummaryTable.java
@@ -29,16 +29,29 @@
                 add(rows, name, all, f -> percent(f.total().wholeShare(importance)));
             }
         }
-        add(rows, "p50 / p99, ms", all, f -> format("%.1f / %.1f", f.total().p50Millis(), f.total().p99Millis()));
+        add(
+                rows,
+                "p50 / p99, ms",
+                all,
+                f -> format("%.1f / %.1f", f.total().p50Millis(), f.total().p99Millis()));
         add(rows, "attempts per request", all, f -> format("%.2f", f.attemptsPerRoot()));
         if (all.stream().anyMatch(f -> f.recovery().isPresent())) {
-            add(rows, "recovery to 95%", all, f -> f.recovery().map(RecoveryTime::text).orElse("-"));
+            add(rows, "recovery to 95%", all, f -> f.recovery()
+                    .map(RecoveryTime::text)
+                    .orElse("-"));
         }
         add(rows, "worst-served organisation", all, SummaryTable::worst);
         add(rows, "wrongful refusals", all, SummaryTable::wrongful);
         add(rows, "wasted executions", all, SummaryTable::wasted);
-        all.stream().flatMap(f -> f.notWhole().keySet().stream()).distinct().sorted().forEach(label ->
-                add(rows, "attempts: " + label, all, f -> Long.toString(f.notWhole().getOrDefault(label, 0L))));
+        all.stream()
+                .flatMap(f -> f.notWhole().keySet().stream())
+                .distinct()
+                .sorted()
+                .forEach(label -> add(
+                        rows,
+                        "attempts: " + label,
+                        all,
+                        f -> Long.toString(f.notWhole().getOrDefault(label, 0L))));
         addPhases(rows, all);
         return rows;
     }
@@ -52,9 +65,16 @@
                 double seconds = phase.phase().toSeconds() - phase.phase().fromSeconds();
                 return format("%.0f, %.0f", phase.sent() / seconds, phase.wholePerSecond());
             });
-            add(rows, name + ": whole of sent, critical", all, f -> percent(
-                    f.phases().get(index).wholeShare(Importance.CRITICAL)));
-            add(rows, name + ": p99, ms", all, f -> format("%.1f", f.phases().get(index).p99Millis()));
+            add(
+                    rows,
+                    name + ": whole of sent, critical",
+                    all,
+                    f -> percent(f.phases().get(index).wholeShare(Importance.CRITICAL)));
+            add(
+                    rows,
+                    name + ": p99, ms",
+                    all,
+                    f -> format("%.1f", f.phases().get(index).p99Millis()));
         }
     }
 
--- a/load/src/main/java/org/trefoilledge/load/SvgPlot.java
+++ b/load/src/main/java/org/trefoilledge/load/SvgPlot.java
@@ -1,6 +1,5 @@
 package org.trefoilledge.load;
 
-import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -21,10 +20,11 @@
 
     private SvgPlot() {}
 
-    static String lines(String title, Map<String, double[]> series) {
-        int seconds = series.values().stream().mapToInt(v -> v.length).max().orElse(1);
+    static String lines(String title, Map<String, List<Double>> series) {
+        int seconds = series.values().stream().mapToInt(List::size).max().orElse(1);
         double top = ceiling(series.values().stream()
-                .flatMapToDouble(Arrays::stream)
+                .flatMap(List::stream)
+                .mapToDouble(d -> d)
                 .filter(Double::isFinite)
                 .max()
                 .orElse(1));
@@ -33,7 +33,7 @@
         svg.append(format("<svg viewBox=\"0 0 %d %d\" width=\"%d\" height=\"%d\">%n", WIDTH, HEIGHT, WIDTH, HEIGHT));
         axes(svg, seconds, top);
         int index = 0;
-        for (Map.Entry<String, double[]> entry : series.entrySet()) {
+        for (Map.Entry<String, List<Double>> entry : series.entrySet()) {
             String colour = COLOURS.get(index % COLOURS.size());
             line(svg, entry.getValue(), seconds, top, colour);
             legend(svg, entry.getKey(), index++, colour);
@@ -57,11 +57,11 @@
         }
     }
 
-    private static void line(StringBuilder svg, double[] values, int seconds, double top, String colour) {
+    private static void line(StringBuilder svg, List<Double> values, int seconds, double top, String colour) {
         StringBuilder points = new StringBuilder();
-        for (int i = 0; i < values.length; i++) {
+        for (int i = 0; i < values.size(); i++) {
             double x = LEFT + PLOT_WIDTH * (i + 0.5) / seconds;
-            double y = TOP + PLOT_HEIGHT * (1 - values[i] / top);
+            double y = TOP + PLOT_HEIGHT * (1 - values.get(i) / top);
             points.append(format("%.1f,%.1f ", x, y));
         }
         svg.append(format(
--- a/load/src/main/java/org/trefoilledge/load/TimeSeries.java
+++ b/load/src/main/java/org/trefoilledge/load/TimeSeries.java
@@ -1,6 +1,7 @@
 package org.trefoilledge.load;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -16,12 +17,12 @@
  */
 record TimeSeries(
         int seconds,
-        double[] sent,
-        double[] whole,
-        double[] p50Millis,
-        double[] p99Millis,
-        Map<String, double[]> notWhole,
-        Map<String, double[]> wholeOf) {
+        List<Double> sent,
+        List<Double> whole,
+        List<Double> p50Millis,
+        List<Double> p99Millis,
+        Map<String, List<Double>> notWhole,
+        Map<String, List<Double>> wholeOf) {
     private static final int DIGITS = 3;
     private static final double MICROS_PER_MILLI = 1_000;
 
@@ -44,21 +45,20 @@
         }
         return new TimeSeries(
                 seconds,
-                sent,
-                whole,
+                list(sent),
+                list(whole),
                 percentile(latencies, 50),
                 percentile(latencies, 99),
-                notWhole(attempts, seconds),
-                wholeOf);
+                lists(notWhole(attempts, seconds)),
+                lists(wholeOf));
     }
 
     private static Map<String, double[]> notWhole(List<Attempt> attempts, int seconds) {
         Map<String, double[]> series = new TreeMap<>();
         for (Attempt attempt : attempts) {
             if (!attempt.result().whole()) {
-                add(
-                        series.computeIfAbsent(attempt.result().label(), l -> new double[seconds]),
-                        attempt.endMicros() / 1e6);
+                double[] own = series.computeIfAbsent(attempt.result().label(), l -> new double[seconds]);
+                add(own, attempt.endMicros() / 1e6);
             }
         }
         return series;
@@ -73,9 +73,19 @@
         return true;
     }
 
-    private static double[] percentile(List<Histogram> latencies, double percentile) {
+    private static List<Double> percentile(List<Histogram> latencies, double percentile) {
         return latencies.stream()
-                .mapToDouble(h -> h.getValueAtPercentile(percentile) / MICROS_PER_MILLI)
-                .toArray();
+                .map(h -> h.getValueAtPercentile(percentile) / MICROS_PER_MILLI)
+                .toList();
+    }
+
+    private static List<Double> list(double[] values) {
+        return Arrays.stream(values).boxed().toList();
+    }
+
+    private static Map<String, List<Double>> lists(Map<String, double[]> series) {
+        Map<String, List<Double>> lists = new TreeMap<>();
+        series.forEach((name, values) -> lists.put(name, list(values)));
+        return lists;
     }
 }
