--- a/load/src/main/java/org/trefoilledge/load/Caller.java
+++ b/load/src/main/java/org/trefoilledge/load/Caller.java
@@ -103,16 +103,8 @@
             driver.later(Duration.ofMillis(delay), this::attempt);
             return;
         }
-        driver.journal()
-                .finished(new RootRequest(
-                        root,
-                        group.organisation(),
-                        route.id(),
-                        route.importance(),
-                        intendedMicros,
-                        end,
-                        number + 1,
-                        result));
+        driver.finished(new RootRequest(
+                root, group.organisation(), route.id(), route.importance(), intendedMicros, end, number + 1, result));
     }
 
     private boolean retries(Result result) {
--- a/load/src/main/java/org/trefoilledge/load/Driver.java
+++ b/load/src/main/java/org/trefoilledge/load/Driver.java
@@ -22,6 +22,9 @@
     private static final int CONNECTIONS_PER_NODE = 1_024;
     private static final int CLIENT_THREADS = 24;
     private static final int MAX_REDIRECTS = 0;
+    /** A repeat that was scheduled just before the end may start this much later. */
+    private static final long LAST_RETRY_MILLIS = 2_000;
+
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
 
     private final Experiment experiment;
@@ -33,6 +36,7 @@
         return thread;
     });
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicInteger openRoots = new AtomicInteger();
     private long startNanos;
 
     Driver(Experiment experiment, Journal journal) throws Exception {
@@ -99,6 +103,7 @@
     }
 
     private void launch(long root, Source source) {
+        openRoots.incrementAndGet();
         RouteLoad route = source.group().pick(source.random());
         Caller caller = new Caller(
                 this,
@@ -121,8 +126,9 @@
     }
 
     private void waitForOpenRequests() throws InterruptedException {
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * experiment.deadlineMillis());
-        while (inFlight.get() > 0 && System.nanoTime() < until) {
+        long until =
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(2 * experiment.deadlineMillis() + LAST_RETRY_MILLIS);
+        while (openRoots.get() > 0 && System.nanoTime() < until) {
             Thread.sleep(10);
         }
     }
@@ -160,6 +166,12 @@
         inFlight.decrementAndGet();
     }
 
+    /** Records a root request that will not be repeated any more. */
+    void finished(RootRequest root) {
+        journal.finished(root);
+        openRoots.decrementAndGet();
+    }
+
     boolean over() {
         return seconds() >= experiment.durationSeconds();
     }
--- /dev/null
+++ b/load/src/test/java/org/trefoilledge/load/DeploymentPartsTest.java
@@ -0,0 +1,87 @@
+package org.trefoilledge.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.trefoilledge.core.config.Inventory;
+import org.trefoilledge.platform.InventoryFile;
+import org.trefoilledge.platform.TomlReader;
+
+class DeploymentPartsTest {
+    private static final Host HOST = new Host("order-1", "cairo-a", "order-intake", 90, 650);
+
+    /** Guards against a written inventory that differs from the sample in more than its rates. */
+    @Test
+    void scaledInventoryIsReadBackWithScaledRates() throws Exception {
+        Inventory sample = InventoryFile.read(Home.path().resolve("samples/nilebadge.toml"))
+                .inventory();
+        Inventory scaled = ScaledInventory.scale(sample, 0.5);
+        Inventory read =
+                InventoryFile.parse("scaled.toml", ScaledInventory.toml(scaled)).inventory();
+        assertThat(read).isEqualTo(scaled);
+        assertThat(read.routes()).isEqualTo(sample.routes());
+        assertThat(read.organisations().get(read.organisations().firstKey()).rate())
+                .isEqualTo(200);
+    }
+
+    /** Guards against node settings that are not valid TOML, which show only after a deployment was started. */
+    @Test
+    void nodeSettingsAreValidToml() throws Exception {
+        String text = NodeSettings.toml(
+                HOST, 2, "nilebadge", new PortPlan(21_000), List.of("127.0.0.1:21003"), Profile.of("no-loans"), true);
+        TomlReader reader = TomlReader.parse("node.toml", text);
+        assertThat(reader.section("listen").text("callers")).isEqualTo("127.0.0.1:21021");
+        assertThat(reader.section("policy").flag("loans", true)).isFalse();
+        assertThat(reader.section("policy").flag("guard", false)).isTrue();
+        assertThat(reader.section("faults").flag("enabled", false)).isTrue();
+    }
+
+    @Test
+    void targetsSelectHosts() {
+        assertThat(HostPattern.matches("node:order-1", "node", HOST)).isTrue();
+        assertThat(HostPattern.matches("node:order-*", "node", HOST)).isTrue();
+        assertThat(HostPattern.matches("node@cairo-a", "node", HOST)).isTrue();
+        assertThat(HostPattern.matches("upstream=order-intake", "upstream", HOST))
+                .isTrue();
+        assertThat(HostPattern.matches("upstream=order-intake", "node", HOST)).isFalse();
+        assertThat(HostPattern.matches("node:order", "node", HOST)).isFalse();
+    }
+
+    @Test
+    void smallDeploymentStillUsesSeveralZones() throws Exception {
+        List<Host> hosts = Host.read(Home.path().resolve("samples/nilebadge-hosts.toml"));
+        List<Host> few = Host.limit(hosts, 2);
+        assertThat(few).hasSize(8);
+        assertThat(few.stream().map(Host::zone).distinct()).hasSize(4);
+    }
+
+    @Test
+    void executionsAreWastedIfLateOrIfTheirRootFailed() throws Exception {
+        String list =
+                """
+                [{"path":"/a?root=0000000001","finished":true,"late":false},
+                 {"path":"/a?root=0000000002","finished":true,"late":false},
+                 {"path":"/a?root=0000000001","finished":true,"late":true}]
+                """;
+        WastedExecutions wasted = WastedExecutions.of(new ObjectMapper().readTree(list), Set.of(1L));
+        assertThat(wasted).isEqualTo(new WastedExecutions(3, 1, 1));
+    }
+
+    /** Guards against processes that outlive the tool, also frozen ones. */
+    @Test
+    void closingTheGroupEndsFrozenProcesses(@TempDir Path directory) throws Exception {
+        ProcessGroup group = new ProcessGroup(directory);
+        group.start(new ProcessGroup.ProcessSpec("sleeper", List.of("sleep", "60"), ""));
+        group.signal("sleeper", "STOP");
+        long start = System.nanoTime();
+        group.close();
+        assertThat(group.alive("sleeper")).isFalse();
+        assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start)).isLessThan(8);
+    }
+}
--- /dev/null
+++ b/load/src/test/java/org/trefoilledge/load/ResponseCheckTest.java
@@ -0,0 +1,72 @@
+package org.trefoilledge.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.trefoilledge.core.ErrorKind;
+
+class ResponseCheckTest {
+    /** Guards against counting an answer to another request as goodput. */
+    @Test
+    void answerWithoutTheExpectedEchoIsNotWhole() {
+        Result result = ResponseCheck.classify(200, null, null, "{\"path\":\"/a?root=1\"}", "/a?root=2");
+        assertThat(result.outcome()).isEqualTo(Result.Outcome.WRONG_BODY);
+    }
+
+    @Test
+    void answerWithTheExpectedEchoIsWhole() {
+        assertThat(ResponseCheck.classify(201, null, null, "{\"path\":\"/a?root=2\"}", "/a?root=2")
+                        .whole())
+                .isTrue();
+    }
+
+    /** Guards against an upstream's own 429 being counted as a refusal of the rate limit. */
+    @Test
+    void statusWithoutAKindIsNotARefusal() {
+        Result result = ResponseCheck.classify(429, null, null, "", "");
+        assertThat(result.label()).isEqualTo("status-429");
+        assertThat(result.is(ErrorKind.RATE_LIMITED)).isFalse();
+    }
+
+    @Test
+    void refusalKeepsTheDelayOfItsBodyInMilliseconds() {
+        Result result = ResponseCheck.classify(429, "RATE_LIMITED", "1", "{\"retryAfterMs\": 130}", "");
+        assertThat(result).isEqualTo(Result.refused(ErrorKind.RATE_LIMITED, 429, 130));
+    }
+
+    @Test
+    void refusalWithoutADelayInItsBodyUsesTheHeaderInSeconds() {
+        assertThat(ResponseCheck.classify(503, "OVERLOADED", "2", "{}", "").retryAfterMillis())
+                .isEqualTo(2_000);
+    }
+
+    /** Guards against the load tool itself executing a non-idempotent request twice. */
+    @Test
+    void requestThatMayHaveRunIsRepeatedOnlyIfThatIsSafe() {
+        Result failed = Result.refused(ErrorKind.UPSTREAM_FAILED, 502, 0);
+        assertThat(ResponseCheck.mayRetry(failed, false, false)).isFalse();
+        assertThat(ResponseCheck.mayRetry(failed, true, true)).isTrue();
+        assertThat(ResponseCheck.mayRetry(Result.TIMEOUT, false, false)).isFalse();
+    }
+
+    @Test
+    void refusalThatAsksForNoRetryIsRepeatedOnlyByCallersThatIgnoreIt() {
+        Result late = Result.refused(ErrorKind.DEADLINE_EXCEEDED, 504, 0);
+        assertThat(ResponseCheck.mayRetry(late, true, true)).isFalse();
+        assertThat(ResponseCheck.mayRetry(late, true, false)).isTrue();
+    }
+
+    @Test
+    void callersFaultIsNotRepeated() {
+        assertThat(ResponseCheck.mayRetry(Result.refused(ErrorKind.KEY_UNKNOWN, 401, 0), true, false))
+                .isFalse();
+    }
+
+    /** Guards against a path that is the beginning of another one, which would let a wrong answer pass. */
+    @Test
+    void taggedPathsAreNoPrefixesOfEachOther() {
+        assertThat(RequestEcho.tagged("/a", 12)).doesNotStartWith(RequestEcho.tagged("/a", 1));
+        assertThat(RequestEcho.root(RequestEcho.tagged("/a?x=1", 12))).isEqualTo(12);
+        assertThat(RequestEcho.root("/a")).isEqualTo(-1);
+    }
+}
