--- a/standin/src/main/java/org/trefoilledge/standin/StoreStandin.java
+++ b/standin/src/main/java/org/trefoilledge/standin/StoreStandin.java
@@ -167,7 +167,7 @@
 
     private void watch(Exchange exchange, JsonNode message) throws StandinException {
         JsonNode create = message.path("create_request");
-        byte[] first = Gateway.bytes(create, "key");
+        String first = Gateway.bytes(create, "key");
         Watcher watcher = new Watcher(exchange, first, Gateway.bytes(create, "range_end"));
         watcher.created(gateway.header());
         watchers.add(watcher);
--- a/standin/src/main/java/org/trefoilledge/standin/Watcher.java
+++ b/standin/src/main/java/org/trefoilledge/standin/Watcher.java
@@ -10,13 +10,13 @@
 /** A waiting watch: writes one line of JSON for each event, one after the other. */
 final class Watcher {
     private final Exchange exchange;
-    private final byte[] first;
-    private final byte[] end;
+    private final String first;
+    private final String end;
     private final Queue<byte[]> lines = new ArrayDeque<>();
     private boolean writing;
     private boolean closed;
 
-    Watcher(Exchange exchange, byte[] first, byte[] end) {
+    Watcher(Exchange exchange, String first, String end) {
         this.exchange = exchange;
         this.first = first;
         this.end = end;
