--- /dev/null
+++ b/load/src/test/java/org/trefoilledge/load/DriverTest.java
@@ -0,0 +1,82 @@
+package org.trefoilledge.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class DriverTest {
+    private static Journal run(FakeNode node, String extra) throws Exception {
+        Journal journal = new Journal();
+        try (FakeNode running = node.listen();
+                Driver driver = new Driver(experiment(running.port(), extra), journal)) {
+            driver.start();
+            driver.run();
+        }
+        return journal;
+    }
+
+    private static Experiment experiment(int port, String extra) throws Exception {
+        String text =
+                """
+                name = "test"
+                duration_s = 1
+                arrivals = "uniform"
+                targets = ["127.0.0.1:%d"]
+                route = [{method = "POST", path = "/a", body = "x", idempotency_key = true}]
+                organisation = [{id = "one", key = "k", rate = 50}]
+                %s
+                """;
+        return ExperimentReader.parse(Path.of("."), "x.toml", text.formatted(port, extra));
+    }
+
+    @Test
+    void everyRequestIsAnsweredWhole() throws Exception {
+        Journal journal = run(new FakeNode(false, 0), "");
+        assertThat(journal.roots()).hasSizeBetween(49, 50).allMatch(RootRequest::whole);
+    }
+
+    /** Guards against a repeat that carries a new id and so executes the request twice. */
+    @Test
+    void repeatKeepsItsIdAndKey() throws Exception {
+        FakeNode node = new FakeNode(true, 0);
+        Journal journal = run(node, "[retry]\nattempts = 2\ndelay_ms = 5\n");
+        List<RootRequest> repeated =
+                journal.roots().stream().filter(root -> root.attempts() == 2).toList();
+        assertThat(repeated).hasSizeGreaterThan(40).allMatch(RootRequest::whole);
+        assertThat(node.ids()).hasSize(journal.roots().size()).allMatch(id -> id.endsWith("Bearer k"));
+    }
+
+    /** Guards against load that waits for a stalled system, and against latency that hides the stall. */
+    @Test
+    void requestsThatAreDueDuringAStallAreSentAndCountItsDelay() throws Exception {
+        Journal journal = run(new FakeNode(false, 600), "");
+        // Thirty requests are due during the stall; those due in its first 400 ms wait at least 200 ms.
+        assertThat(journal.roots().stream().filter(root -> root.latencyMicros() > 200_000))
+                .hasSizeGreaterThan(15);
+        assertThat(journal.attempts().stream().filter(attempt -> attempt.sentMicros() < 600_000))
+                .hasSizeGreaterThan(25);
+    }
+
+    @Test
+    void refusedConnectionIsCounted() throws Exception {
+        Journal journal = new Journal();
+        try (Driver driver = new Driver(experiment(1, ""), journal)) {
+            driver.start();
+            driver.run();
+        }
+        assertThat(journal.notWholeCounts()).containsOnlyKeys("connection");
+    }
+
+    /** Guards against identifiers that the arbiter does not take for new ones. */
+    @Test
+    void uuidHasVersionSevenAndItsTime() {
+        var uuid = UuidV7.make(1_700_000_000_000L, new java.util.SplittableRandom(1));
+        assertThat(uuid.version()).isEqualTo(7);
+        assertThat(uuid.variant()).isEqualTo(2);
+        assertThat(uuid.getMostSignificantBits() >>> 16).isEqualTo(1_700_000_000_000L);
+        assertThat(uuid.toString().getBytes(StandardCharsets.US_ASCII)).hasSize(36);
+    }
+}
