--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -23,9 +23,13 @@
     private static final long GIVE_BACK_MILLIS = 60;
     /** A loan is kept at least this long, because requests may still be waiting for it. */
     private static final long KEEP_MILLIS = 40;
+    /** After this time an answer is late, and requests that wait are better served by other sources. */
+    private static final long USUAL_ANSWER_MILLIS = 8;
     /** How long a source that did not answer is left alone. */
     private static final long FAILED_BACKOFF_MILLIS = 500;
 
+    /** A source of the own zone is preferred to others that have at most this fraction more. */
+    private static final int OWN_ZONE_ADVANTAGE = 4;
     /** Multiplier of a linear congruential generator modulo 2^64, which spreads the rounds over the shards. */
     private static final long LEAP = 6364136223846793005L;
 
@@ -42,7 +46,6 @@
     private double ratePerMilli;
     private double burst;
     private long requests;
-    private long expectedMicros;
     private long tickedAt;
     private long latest;
     private boolean active;
@@ -63,7 +66,6 @@
         }
         if (!same) {
             sources = List.copyOf(wanted);
-            expectedMicros = 0;
         }
         ownCount = own;
         round ^= start;
@@ -114,12 +116,12 @@
         long low = urgent + Math.min(most, prefetched(perMilli));
         long batch = low > urgent ? Math.min(urgent + most - low, batch(perMilli)) : 0;
         purse.giveBack(low + batch, latest + GIVE_BACK_MILLIS, latest + settings.loanMillis() - KEEP_MILLIS, latest);
-        long held = purse.balance(latest) + expectedMicros;
+        long held = purse.balance(latest) + underWay();
         if (held < low) {
             borrow(low + batch - held, sink);
         }
         boolean settling = settle(sink);
-        active = !demand.idle() || expectedMicros > 0 || purse.balance(latest) > 0 || settling;
+        active = !demand.idle() || purse.balance(latest) > 0 || settling;
         return active;
     }
 
@@ -148,60 +150,73 @@
             if (source.hasSettled(SETTLE_DELAY_MILLIS, latest)) {
                 sink.ask(this, source, 0);
             }
-            waits |= source.hasSettled(0, latest);
+            waits |= source.hasSettled(0, latest) || source.waitsForAnswer();
         }
         return waits;
     }
 
+    private long underWay() {
+        long sum = 0;
+        for (LoanSource source : sources) {
+            sum += source.underWay(USUAL_ANSWER_MILLIS, latest);
+        }
+        return sum;
+    }
+
+    /**
+     * The fullest sources come first: their refill would otherwise be lost when they are full. The scan starts
+     * elsewhere each time, because nodes that need tokens at the same time would compete for the same shards.
+     */
     private void borrow(long missing, AskSink sink) {
         long left = missing;
         int count = sources.size();
         round = LEAP * round + 1;
+        int start = count == 0 ? 0 : (int) Math.floorMod(round >>> 33, count);
         for (int i = 0; i < count && left > 0; i++) {
-            LoanSource source = sources.get(index(i, count));
-            long expected = source.available(latest) ? source.expected(latest) : 0;
-            long wanted = wanted(left, expected);
+            LoanSource source = fullest(start, count);
+            long wanted = source == null ? 0 : wanted(left, source.expected(latest));
             if (wanted == 0) {
-                continue;
+                return;
             }
-            source.asked();
+            source.asked(wanted, latest);
             sink.ask(this, source, wanted);
-            expectedMicros += wanted;
             left -= wanted;
         }
     }
 
-    /**
-     * Own zone first; within it and within the others every round starts elsewhere, because nodes that need tokens at
-     * the same time would otherwise compete for the same shards.
-     */
-    private int index(int i, int count) {
-        if (i < ownCount) {
-            return (int) Math.floorMod((round >>> 33) + i, ownCount);
+    private LoanSource fullest(int start, int count) {
+        LoanSource fullest = null;
+        long most = 0;
+        for (int i = 0; i < count; i++) {
+            int index = (start + i) % count;
+            LoanSource source = sources.get(index);
+            if (!source.available(latest)) {
+                continue;
+            }
+            long expected = source.expected(latest);
+            long score = index < ownCount ? expected + expected / OWN_ZONE_ADVANTAGE : expected;
+            if (score > most) {
+                fullest = source;
+                most = score;
+            }
         }
-        int others = count - ownCount;
-        return ownCount + (int) Math.floorMod((round >>> 40) + i, others);
+        return fullest;
     }
 
     private static long wanted(long left, long expected) {
-        long whole = (left + TOKEN - 1) / TOKEN * TOKEN;
-        if (expected >= whole) {
-            return whole;
-        }
-        return expected >= TOKEN ? expected / TOKEN * TOKEN : 0;
+        long wanted = Math.min(left, expected);
+        return wanted >= ShareMap.LEAST_LOAN_MICROS ? wanted : 0;
     }
 
     synchronized void answered(LoanSource source, long askId, long wanted, LoanGrant grant, long sentAt, long now) {
         source.answered(wanted, grant, now);
-        expectedMicros = Math.max(0, expectedMicros - wanted);
         if (grant.grantedMicros() > 0) {
             purse.add(new LoanPurse.Loan(source, askId, grant.grantedMicros(), sentAt + settings.loanMillis()));
         }
     }
 
-    synchronized void failed(LoanSource source, long wanted, long now) {
+    synchronized void failed(LoanSource source, long now) {
         source.failed(FAILED_BACKOFF_MILLIS, now);
-        expectedMicros = Math.max(0, expectedMicros - wanted);
     }
 
     /** Returns the time in which one token accrues at the configured rate, in milliseconds. */
