--- a/core/src/main/java/org/trefoilledge/core/authority/Authority.java
+++ b/core/src/main/java/org/trefoilledge/core/authority/Authority.java
@@ -66,7 +66,7 @@
         self = new Member(host, incarnation, peerAddress, Member.State.ACTIVE, 0);
         this.zone = zone;
         this.settings = settings;
-        voter = new Voter(incarnation, settings.promiseMillis(), now);
+        voter = new Voter(incarnation, settings, now);
         renewal = new Renewal(settings, now);
         planner = new Planner(self, settings, view);
         lastSeen = now;
--- a/core/src/main/java/org/trefoilledge/core/authority/Voter.java
+++ b/core/src/main/java/org/trefoilledge/core/authority/Voter.java
@@ -16,6 +16,7 @@
 final class Voter {
     private final Incarnation incarnation;
     private final long promiseMillis;
+    private final long lateMillis;
     private final long votesFrom;
     private final Map<HostId, Promise> promises = new HashMap<>();
     private final Set<HostId> heard = new HashSet<>();
@@ -24,9 +25,10 @@
 
     private record Promise(Incarnation to, long until) {}
 
-    Voter(Incarnation incarnation, long promiseMillis, long now) {
+    Voter(Incarnation incarnation, AuthoritySettings settings, long now) {
         this.incarnation = incarnation;
-        this.promiseMillis = promiseMillis;
+        promiseMillis = settings.promiseMillis();
+        lateMillis = settings.lateDispatchMillis();
         votesFrom = now + promiseMillis;
         recoveringSince = now;
     }
@@ -91,9 +93,13 @@
         return new PeerMessage.AdoptAnswer(adopted, incarnation, running, version);
     }
 
-    /** Returns whether a promise to any run of the host has not expired. */
+    /**
+     * Returns whether the host may still have authority by a promise of this seat, or a dispatch under it may still
+     * arrive. The promises of an earlier run are forgotten, so every host may, until the last of them would be over.
+     */
     boolean promising(HostId host, long now) {
         Promise promise = promises.get(host);
-        return promise != null && now < promise.until();
+        long until = promise == null ? votesFrom : Math.max(promise.until(), votesFrom);
+        return now < until + lateMillis;
     }
 }
--- a/core/src/test/java/org/trefoilledge/core/authority/ZoneSimulation.java
+++ b/core/src/test/java/org/trefoilledge/core/authority/ZoneSimulation.java
@@ -38,6 +38,8 @@
     int swaps;
 
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final Map<Integer, Node> lastActor = new HashMap<>();
+    private final long[] lastAct = new long[SHARDS];
     private Optional<ZoneRecord> stored = Optional.empty();
     private long revision;
     private long sequence;
@@ -261,11 +263,25 @@
                 actor = process;
             }
         }
+        if (actor != null) {
+            checkLateDispatch(actor, shard);
+        }
         if (actor != null && !actor.paused()) {
             claim(actor, shard);
         }
     }
 
+    /** A dispatch that the last owner checked at the end of its authority must be refused by guards before another acts. */
+    private void checkLateDispatch(Node actor, int shard) {
+        Node last = lastActor.put(shard, actor);
+        long gap = now - lastAct[shard];
+        lastAct[shard] = now;
+        if (last != null && last != actor && gap < AuthoritySettings.DEFAULT.lateDispatchMillis()) {
+            throw new AssertionError("at " + now + " " + actor.host + " acts for shard " + shard + " " + gap
+                    + " ms after " + last.host + " could");
+        }
+    }
+
     private void claim(Node actor, int shard) {
         Table table = actor.tables.get(shard);
         if (table == null) {
@@ -356,11 +372,22 @@
         if (swap.expectedRevision() != revision) {
             return false;
         }
+        stored.ifPresent(before -> noteTransfers(before, swap.record()));
         stored = Optional.of(swap.record());
         revision += 1 + random.nextInt(5);
         return true;
     }
 
+    /** After a voluntary transfer the claims under way go with the table, so no time has to pass. */
+    private void noteTransfers(ZoneRecord before, ZoneRecord after) {
+        for (int shard = 0; shard < SHARDS; shard++) {
+            HostId owner = before.shards().get(shard);
+            if (!owner.equals(after.shards().get(shard)) && after.member(owner).isPresent()) {
+                lastActor.remove(shard);
+            }
+        }
+    }
+
     /** Returns the record in the store. */
     Optional<ZoneRecord> stored() {
         return stored;
