--- a/standin/src/main/java/org/trefoilledge/standin/Executions.java
+++ b/standin/src/main/java/org/trefoilledge/standin/Executions.java
@@ -144,7 +144,15 @@
             succeed(execution);
             return;
         }
-        calls.send(index, execution, clock.millis(), status -> called(execution, index, status));
+        long now = clock.millis();
+        if (execution.expired(now)) {
+            finish(
+                    execution,
+                    504,
+                    UpstreamAnswer.bytes(UpstreamAnswer.error("the deadline passed before an own call")));
+            return;
+        }
+        calls.send(index, execution, now, status -> called(execution, index, status));
     }
 
     private void called(Execution execution, int index, int status) {
--- a/standin/src/main/java/org/trefoilledge/standin/Gateway.java
+++ b/standin/src/main/java/org/trefoilledge/standin/Gateway.java
@@ -113,6 +113,11 @@
         return answer;
     }
 
+    /** Runs a task between two changes. */
+    synchronized void betweenChanges(Runnable task) {
+        task.run();
+    }
+
     synchronized ObjectNode header() {
         return object().put("cluster_id", "1").put("member_id", "1").put("revision", Long.toString(content.revision()));
     }
--- a/standin/src/main/java/org/trefoilledge/standin/StandinMain.java
+++ b/standin/src/main/java/org/trefoilledge/standin/StandinMain.java
@@ -16,6 +16,13 @@
     /** Runs the command; exits with 1 on failure and 2 on a usage error. */
     public static void main(String[] arguments) {
         StandinLog.configure();
-        System.exit(new CommandLine(new StandinMain()).execute(arguments));
+        System.exit(commandLine().execute(arguments));
+    }
+
+    static CommandLine commandLine() {
+        return new CommandLine(new StandinMain()).setExecutionExceptionHandler((e, command, result) -> {
+            command.getErr().println(command.getCommandName() + ": " + e.getMessage());
+            return CommandLine.ExitCode.SOFTWARE;
+        });
     }
 }
--- a/standin/src/main/java/org/trefoilledge/standin/StoreStandin.java
+++ b/standin/src/main/java/org/trefoilledge/standin/StoreStandin.java
@@ -148,17 +148,19 @@
         try {
             JsonNode message = Exchange.parse(body);
             switch (kind) {
-                case "range" -> exchange.json(200, gateway.range(message));
+                case "range" -> answer(exchange, gateway.range(message), false);
                 case "watch" -> watch(exchange, message);
-                default -> written(exchange, kind.equals("put") ? gateway.put(message) : gateway.transaction(message));
+                case "put" -> answer(exchange, gateway.put(message), chance(faults.loseWriteAnswers()));
+                default -> answer(exchange, gateway.transaction(message), chance(faults.loseWriteAnswers()));
             }
         } catch (StandinException e) {
             exchange.error(e);
         }
     }
 
-    private void written(Exchange exchange, ObjectNode answer) {
-        if (chance(faults.loseWriteAnswers())) {
+    /** A store that went down while a call waited does not respond, although the call took effect. */
+    private void answer(Exchange exchange, ObjectNode answer, boolean lost) {
+        if (lost || faults.blocks(exchange.header(CLIENT_HEADER))) {
             exchange.abort();
             return;
         }
@@ -169,8 +171,13 @@
         JsonNode create = message.path("create_request");
         String first = Gateway.bytes(create, "key");
         Watcher watcher = new Watcher(exchange, first, Gateway.bytes(create, "range_end"));
-        watcher.created(gateway.header());
-        watchers.add(watcher);
+        gateway.betweenChanges(() -> {
+            watcher.created(gateway.header());
+            watchers.add(watcher);
+        });
+        if (faults.blocks(watcher.client())) {
+            watcher.close();
+        }
     }
 
     private void control(Exchange exchange, byte[] body) {
--- a/standin/src/test/java/org/trefoilledge/standin/EtcdStoreTest.java
+++ b/standin/src/test/java/org/trefoilledge/standin/EtcdStoreTest.java
@@ -152,6 +152,29 @@
         }
     }
 
+    /** Guards against a silent endpoint that uses up the time of the whole call. */
+    @Test
+    void readGoesToTheNextEndpointWhenOneIsSilent() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0)) {
+            List<String> endpoints = List.of("http://127.0.0.1:" + silent.getLocalPort(), standin.endpoint());
+            try (EtcdStore client = new EtcdStore(EtcdSettings.of(endpoints, "a-1"))) {
+                assertThat(client.read("a")).isEmpty();
+            }
+        }
+    }
+
+    /** Guards against a write that is sent twice: the silent endpoint may have executed it. */
+    @Test
+    void writeToASilentEndpointIsUnknownAndTheNextGoesElsewhere() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0)) {
+            List<String> endpoints = List.of("http://127.0.0.1:" + silent.getLocalPort(), standin.endpoint());
+            try (EtcdStore client = new EtcdStore(new EtcdSettings(endpoints, "a-1", 200))) {
+                assertThatThrownBy(() -> client.swap("a", 0, "x")).isInstanceOf(StoreOutcomeUnknownException.class);
+                assertThat(client.swap("a", 0, "y")).isPresent();
+            }
+        }
+    }
+
     @Test
     void watchDeliversChangesBelowItsPrefix() throws Exception {
         BlockingQueue<StoredValue> seen = new LinkedBlockingQueue<>();
--- a/standin/src/test/java/org/trefoilledge/standin/UpstreamStandinTest.java
+++ b/standin/src/test/java/org/trefoilledge/standin/UpstreamStandinTest.java
@@ -271,6 +271,18 @@
         }
     }
 
+    /** Guards against work in other services for a request that nobody waits for. */
+    @Test
+    void noOwnCallIsMadeAfterTheDeadline() throws Exception {
+        try (UpstreamStandin node = UpstreamStandin.start(UpstreamOptions.of("node", "node"))) {
+            start(fast().withServiceTime(60, 0).withNode(node.address()).withCalls(List.of("GET /stock/{n}")));
+            HttpRequest hasty =
+                    request("/a").header("Trefoilledge-Deadline-Ms", "20").build();
+            assertThat(http.send(hasty, BodyHandlers.ofString()).statusCode()).isEqualTo(504);
+            assertThat(node.received("GET /stock/")).isFalse();
+        }
+    }
+
     @Test
     void drainingWaitsForRunningRequests() throws Exception {
         start(fast().withServiceTime(300, 0));
