--- a/operator/src/main/java/org/trefoilledge/operator/ApplyProposal.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ApplyProposal.java
@@ -17,6 +17,9 @@
     private static final int MAX_SHOWN_ENTRIES = 20;
     private static final long UNSET = -1;
 
+    /** How far back withdrawals are looked for; reading the log since the first revision would take too long. */
+    private static final long KEY_HISTORY_REVISIONS = 1_024;
+
     private final InventoryFile file;
     private final boolean onTop;
     private final boolean grantAgain;
@@ -29,6 +32,12 @@
         this.grantAgain = grantAgain;
     }
 
+    @Override
+    public long oldest(long head) {
+        long known = base == UNSET ? head : base;
+        return Math.min(known, head - KEY_HISTORY_REVISIONS);
+    }
+
     @Override
     public List<Change> changes(ConfigHistory current) throws RejectedException {
         if (base == UNSET) {
--- a/operator/src/main/java/org/trefoilledge/operator/DiffCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/DiffCommand.java
@@ -26,7 +26,8 @@
     Answer answer() throws SettingsException, RejectedException, StoreException {
         InventoryFile wanted = InventoryFile.read(file);
         try (Store store = open()) {
-            return compare(new ConfigWriter(store, environment, timeoutMillis()).read(), wanted);
+            return compare(
+                    new ConfigWriter(store, environment, timeoutMillis()).read(ConfigWriter.Oldest.HEAD), wanted);
         }
     }
 
--- a/operator/src/main/java/org/trefoilledge/operator/NodeStatus.java
+++ b/operator/src/main/java/org/trefoilledge/operator/NodeStatus.java
@@ -37,7 +37,9 @@
                     + " in force, but the store has only " + history.revision() + ": the store was restored from an"
                     + " older copy; nodes write the missing entries back, try again after that");
         }
-        if (revision() > 0 && !text("digest").equals(history.digest(revision()))) {
+        if (history.digest(revision())
+                .filter(digest -> !digest.equals(text("digest")))
+                .isPresent()) {
             throw new RejectedException("node " + node + " has another revision " + revision()
                     + " in force than the store: the log was forked; compare them before any write");
         }
--- a/operator/src/main/java/org/trefoilledge/operator/Proposal.java
+++ b/operator/src/main/java/org/trefoilledge/operator/Proposal.java
@@ -8,4 +8,9 @@
 interface Proposal {
     /** Returns the changes, empty if there is nothing to change. */
     List<Change> changes(ConfigHistory current) throws RejectedException;
+
+    /** Returns the oldest revision that the decision needs. */
+    default long oldest(long head) {
+        return head;
+    }
 }
--- a/operator/src/main/java/org/trefoilledge/operator/ShowCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ShowCommand.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.trefoilledge.core.config.ConfigCodec;
@@ -33,8 +32,12 @@
             throw new SettingsException("--operation: expected an id such as 8-3f2a9c, but found: " + operation);
         }
         try (Store store = open()) {
-            ConfigHistory history = new ConfigWriter(store, environment, timeoutMillis()).read();
-            return matcher == null ? configuration(history) : operation(history, Long.parseLong(matcher.group(1)));
+            ConfigWriter writer = new ConfigWriter(store, environment, timeoutMillis());
+            if (matcher == null) {
+                return configuration(writer.read(ConfigWriter.Oldest.HEAD));
+            }
+            long revision = Long.parseLong(matcher.group(1));
+            return operation(writer.read(head -> revision - 1), revision);
         }
     }
 
@@ -43,26 +46,14 @@
         lines.add("revision " + history.revision());
         lines.addAll(InventoryText.lines(history.inventory()));
         ObjectNode object = Answer.object("shown").put("revision", history.revision());
-        object.put("digest", history.digest(history.revision()));
+        object.put("digest", history.digest(history.revision()).orElseThrow());
         object.set("inventory", ConfigCodec.json().valueToTree(history.inventory()));
         return new Answer(ExitCode.DONE, lines, object);
     }
 
     private Answer operation(ConfigHistory history, long revision) {
-        Optional<LogEntry> found = history.operation(operation);
-        if (found.isPresent()) {
-            List<String> lines = new ArrayList<>(
-                    List.of("accepted at revision " + found.get().revision()));
-            ChangeText.lines(found.get().changes(), history.at(found.get().revision() - 1))
-                    .forEach(line -> lines.add("  " + line));
-            ObjectNode object =
-                    Answer.object("accepted").put("revision", found.get().revision());
-            return new Answer(ExitCode.DONE, lines, object.put("operation", operation));
-        }
         if (history.revision() >= revision) {
-            String taken = "revision " + revision + " was taken by operation "
-                    + history.entry(revision).operation();
-            return Answer.failure(ExitCode.FAILED, "rejected", taken, List.of("it can no longer take effect"));
+            return decided(history, history.entry(revision));
         }
         return Answer.failure(
                 ExitCode.NOT_KNOWN,
@@ -70,4 +61,15 @@
                 "revision " + revision + " is still free, a delayed write may take it",
                 List.of("run the command that wrote it again: whichever write comes first takes the revision"));
     }
+
+    private Answer decided(ConfigHistory history, LogEntry entry) {
+        if (!entry.operation().equals(operation)) {
+            String taken = "revision " + entry.revision() + " was taken by operation " + entry.operation();
+            return Answer.failure(ExitCode.FAILED, "rejected", taken, List.of("it can no longer take effect"));
+        }
+        List<String> lines = new ArrayList<>(List.of("accepted at revision " + entry.revision()));
+        ChangeText.lines(entry.changes(), history.at(entry.revision() - 1)).forEach(line -> lines.add("  " + line));
+        ObjectNode object = Answer.object("accepted").put("revision", entry.revision());
+        return new Answer(ExitCode.DONE, lines, object.put("operation", operation));
+    }
 }
--- a/operator/src/main/java/org/trefoilledge/operator/Submission.java
+++ b/operator/src/main/java/org/trefoilledge/operator/Submission.java
@@ -6,6 +6,7 @@
 import org.trefoilledge.core.config.Inventory;
 import org.trefoilledge.core.config.InventoryDiff;
 import org.trefoilledge.core.config.LogEntry;
+import org.trefoilledge.platform.AppendResult;
 import org.trefoilledge.platform.StoreException;
 
 /** Writes the changes of a proposal as the next revision, and asks it again when another writer was first. */
@@ -29,7 +30,7 @@
 
     WriteOutcome submit(Proposal proposal) throws StoreException, RejectedException, InterruptedException {
         for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-            ConfigHistory history = writer.read();
+            ConfigHistory history = writer.read(proposal::oldest);
             for (NodeStatus status : seen) {
                 status.checkAgainst(history);
             }
@@ -37,12 +38,17 @@
             if (changes.isEmpty()) {
                 return new WriteOutcome.Unchanged(history.revision());
             }
-            check(history.inventory(), history.inventory().with(changes));
+            Inventory after = history.inventory().with(changes);
+            check(history.inventory(), after);
             LogEntry entry = entry(history, changes);
             announce(entry);
-            CertainWrite.Result result = writer.append(entry);
-            if (result != CertainWrite.Result.LOST) {
-                return outcome(result, entry, ChangeText.lines(changes, history.inventory()));
+            AppendResult result = writer.append(entry);
+            if (result instanceof AppendResult.Accepted) {
+                writer.snapshot(entry, after);
+                return new WriteOutcome.Accepted(
+                        entry.revision(), entry.operation(), ChangeText.lines(changes, history.inventory()));
+            } else if (result instanceof AppendResult.Unknown) {
+                return new WriteOutcome.NotKnown(entry.revision(), entry.operation());
             }
         }
         throw new RejectedException("other writers took " + MAX_ATTEMPTS + " revisions in a row first");
@@ -54,12 +60,6 @@
         environment.err().flush();
     }
 
-    private static WriteOutcome outcome(CertainWrite.Result result, LogEntry entry, List<String> changes) {
-        return result == CertainWrite.Result.WRITTEN
-                ? new WriteOutcome.Accepted(entry.revision(), entry.operation(), changes)
-                : new WriteOutcome.NotKnown(entry.revision(), entry.operation());
-    }
-
     private static void check(Inventory before, Inventory after) throws RejectedException {
         var fixed = InventoryDiff.fixedPartChanged(before, after);
         if (fixed.isPresent()) {
@@ -75,7 +75,8 @@
     private LogEntry entry(ConfigHistory history, List<Change> changes) throws RejectedException {
         long revision = history.revision() + 1;
         String operation = revision + "-" + environment.operationIds().get();
-        LogEntry entry = new LogEntry(revision, operation, history.digest(history.revision()), changes);
+        LogEntry entry = new LogEntry(
+                revision, operation, history.digest(history.revision()).orElseThrow(), changes);
         int bytes = ConfigCodec.encode(entry).length;
         if (bytes > MAX_ENTRY_BYTES) {
             throw new RejectedException("the changes need " + bytes + " bytes, but an entry of the store has at most "
