Keep a raised latency baseline until a probing cut contradicts it

Cause: after a cut that had not lowered latency, the baseline was raised, but one window of low latency restored the old one, and the next window cut again.

--- a/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
@@ -19,7 +19,7 @@
 
     private static final double DEEPEST_CUT = 0.5;
     private static final double LIGHTEST_CUT = 0.75;
-    private static final long RAISED_BASELINE_MILLIS = 10_000;
+    private static final long PROBE_INTERVAL_MILLIS = 10_000;
 
     private final boolean adaptive;
     private final boolean coldStart;
@@ -29,13 +29,13 @@
     private double serviceMillis;
     private double baselineMillis;
     private double calmBaselineMillis;
-    private long baselineRaisedUntilMillis;
+    private long probeAtMillis;
     private long windowStartMillis = -1;
     private int samples;
     private double latencySum;
     private Cut lastCut;
 
-    private record Cut(double limitBefore, double latencyMillis, double throughput) {}
+    private record Cut(double limitBefore, double latencyMillis, double throughput, boolean probe) {}
 
     ConcurrencyLimit(int slots, boolean adaptive, boolean coldStart) {
         this.slots = slots;
@@ -136,10 +136,13 @@
             raiseBaseline(latency, now);
             return;
         }
+        if (lastCut != null && lastCut.probe()) {
+            baselineMillis = calmBaselineMillis;
+            calmBaselineMillis = 0;
+        }
         lastCut = null;
-        learnBaseline(latency, now);
-        boolean saturated = throughput * latency >= current(now) / 2.0;
-        if (latency > baselineMillis * TOLERANCE && saturated) {
+        learnBaseline(latency);
+        if (throughput * latency >= current(now) / 2.0 && (probeDue(now) || latency > baselineMillis * TOLERANCE)) {
             cut(latency, throughput, now);
         } else if (latency <= baselineMillis * CALM) {
             limit = Math.min(slots, limit * 1.25 + 1);
@@ -155,33 +158,42 @@
 
     private void cut(double latency, double throughput, long now) {
         double before = current(now);
+        boolean probe = latency <= baselineMillis * TOLERANCE;
         double share = Math.min(LIGHTEST_CUT, Math.max(DEEPEST_CUT, baselineMillis * TOLERANCE / latency));
-        lastCut = new Cut(before, latency, throughput);
+        lastCut = new Cut(before, latency, throughput, probe);
         limit = Math.max(1, before * share);
         // Calls that were started before the cut still show the old latency.
         startWindow(now + (long) latency);
     }
 
+    /** While the baseline is raised, a cut now and then shows whether concurrency has become the cause after all. */
+    private boolean probeDue(long now) {
+        return calmBaselineMillis > 0 && now >= probeAtMillis;
+    }
+
+    /** The earlier baseline moves half the way, so that one that was too low is corrected by repeated probes. */
     private void raiseBaseline(double latency, long now) {
-        if (calmBaselineMillis == 0) {
-            calmBaselineMillis = baselineMillis;
-        }
+        double calm = calmBaselineMillis == 0 ? baselineMillis : calmBaselineMillis;
+        calmBaselineMillis = Math.sqrt(calm * latency);
         baselineMillis = latency;
-        baselineRaisedUntilMillis = now + RAISED_BASELINE_MILLIS;
+        probeAtMillis = now + PROBE_INTERVAL_MILLIS;
+        forgetCalmBaseline();
     }
 
-    private void learnBaseline(double latency, long now) {
+    private void learnBaseline(double latency) {
         if (baselineMillis == 0) {
             baselineMillis = latency;
-        }
-        if (calmBaselineMillis > 0 && (now >= baselineRaisedUntilMillis || latency < calmBaselineMillis * CALM)) {
-            baselineMillis = calmBaselineMillis;
-            calmBaselineMillis = 0;
-        }
-        if (latency < baselineMillis) {
-            baselineMillis += (latency - baselineMillis) / 4;
+        } else if (latency < baselineMillis) {
+            baselineMillis += (latency - baselineMillis) / 8;
         } else if (latency < baselineMillis * CALM) {
             baselineMillis += (latency - baselineMillis) / 32;
         }
+        forgetCalmBaseline();
+    }
+
+    private void forgetCalmBaseline() {
+        if (baselineMillis <= calmBaselineMillis * CALM) {
+            calmBaselineMillis = 0;
+        }
     }
 }
