Learn the latency baseline from a first window of at least 1 s

Cause: of the calls started just after the start, the short ones end first, so a first window of 200 ms set a baseline of 30 ms for a service time of 50 ms.

--- a/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
@@ -12,6 +12,8 @@
     private static final long LONGEST_WINDOW_MILLIS = 1_000;
     /** With 50 samples the standard error of the mean of exponential latencies is 14%. */
     private static final int WINDOW_SAMPLES = 50;
+    /** The first window sets the baseline; calls that end within it are shorter than usual unless it is long. */
+    private static final long FIRST_WINDOW_MILLIS = 1_000;
     /** Latency over the baseline by this factor is taken for queueing inside the upstream. */
     private static final double TOLERANCE = 2.0;
     /** Latency under the baseline times this factor leaves room for fast growth. */
@@ -108,7 +110,7 @@
 
     private boolean windowComplete(long now) {
         long age = now - windowStartMillis;
-        if (age < WINDOW_MILLIS) {
+        if (age < (baselineMillis == 0 ? FIRST_WINDOW_MILLIS : WINDOW_MILLIS)) {
             return false;
         }
         return samples >= WINDOW_SAMPLES || (age >= LONGEST_WINDOW_MILLIS && samples > 0);
