Judge a cut of the limit by a longer window

The traces show verdicts taken from 50 samples, of which about one in ten was wrong; each raised the baseline for 10 s and let the limit climb to the announced slots.

--- a/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
@@ -12,6 +12,9 @@
     private static final long LONGEST_WINDOW_MILLIS = 1_000;
     /** With 50 samples the standard error of the mean of exponential latencies is 14%. */
     private static final int WINDOW_SAMPLES = 50;
+    /** The window that judges a cut is longer: with 50 samples, noise decided about one verdict in ten wrongly. */
+    private static final int VERDICT_SAMPLES = 150;
+
     /** The first window sets the baseline; calls that end within it are shorter than usual unless it is long. */
     private static final long FIRST_WINDOW_MILLIS = 1_000;
     /** Latency over the baseline by this factor is taken for queueing inside the upstream. */
@@ -20,7 +23,7 @@
     private static final double CALM = 1.3;
 
     private static final double DEEPEST_CUT = 0.5;
-    private static final double LIGHTEST_CUT = 0.75;
+    private static final double LIGHTEST_CUT = 0.65;
     private static final long PROBE_INTERVAL_MILLIS = 10_000;
 
     private final boolean adaptive;
@@ -113,7 +116,8 @@
         if (age < (baselineMillis == 0 ? FIRST_WINDOW_MILLIS : WINDOW_MILLIS)) {
             return false;
         }
-        return samples >= WINDOW_SAMPLES || (age >= LONGEST_WINDOW_MILLIS && samples > 0);
+        return samples >= (lastCut == null ? WINDOW_SAMPLES : VERDICT_SAMPLES)
+                || (age >= LONGEST_WINDOW_MILLIS && samples > 0);
     }
 
     private void closeWindow(long now) {
