Do not wait for late answers to loan requests

Cause: a request under way counts as supply until it is given up after 200 ms, so one slow message makes the requests of 25 ms miss their tokens. Ruled out: the order of the shards, as others had tokens. Change: a request that is under way for more than 8 ms no longer counts.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -23,6 +23,8 @@
     private static final long GIVE_BACK_MILLIS = 60;
     /** A loan is kept at least this long, because requests may still be waiting for it. */
     private static final long KEEP_MILLIS = 40;
+    /** After this time an answer is late, and requests that wait are better served by other sources. */
+    private static final long USUAL_ANSWER_MILLIS = 8;
     /** How long a source that did not answer is left alone. */
     private static final long FAILED_BACKOFF_MILLIS = 500;
 
@@ -42,7 +44,6 @@
     private double ratePerMilli;
     private double burst;
     private long requests;
-    private long expectedMicros;
     private long tickedAt;
     private long latest;
     private boolean active;
@@ -63,7 +64,6 @@
         }
         if (!same) {
             sources = List.copyOf(wanted);
-            expectedMicros = 0;
         }
         ownCount = own;
         round ^= start;
@@ -114,12 +114,12 @@
         long low = urgent + Math.min(most, prefetched(perMilli));
         long batch = low > urgent ? Math.min(urgent + most - low, batch(perMilli)) : 0;
         purse.giveBack(low + batch, latest + GIVE_BACK_MILLIS, latest + settings.loanMillis() - KEEP_MILLIS, latest);
-        long held = purse.balance(latest) + expectedMicros;
+        long held = purse.balance(latest) + underWay();
         if (held < low) {
             borrow(low + batch - held, sink);
         }
         boolean settling = settle(sink);
-        active = !demand.idle() || expectedMicros > 0 || purse.balance(latest) > 0 || settling;
+        active = !demand.idle() || purse.balance(latest) > 0 || settling;
         return active;
     }
 
@@ -148,11 +148,19 @@
             if (source.hasSettled(SETTLE_DELAY_MILLIS, latest)) {
                 sink.ask(this, source, 0);
             }
-            waits |= source.hasSettled(0, latest);
+            waits |= source.hasSettled(0, latest) || source.waitsForAnswer();
         }
         return waits;
     }
 
+    private long underWay() {
+        long sum = 0;
+        for (LoanSource source : sources) {
+            sum += source.underWay(USUAL_ANSWER_MILLIS, latest);
+        }
+        return sum;
+    }
+
     private void borrow(long missing, AskSink sink) {
         long left = missing;
         int count = sources.size();
@@ -164,9 +172,8 @@
             if (wanted == 0) {
                 continue;
             }
-            source.asked();
+            source.asked(wanted, latest);
             sink.ask(this, source, wanted);
-            expectedMicros += wanted;
             left -= wanted;
         }
     }
@@ -193,15 +200,13 @@
 
     synchronized void answered(LoanSource source, long askId, long wanted, LoanGrant grant, long sentAt, long now) {
         source.answered(wanted, grant, now);
-        expectedMicros = Math.max(0, expectedMicros - wanted);
         if (grant.grantedMicros() > 0) {
             purse.add(new LoanPurse.Loan(source, askId, grant.grantedMicros(), sentAt + settings.loanMillis()));
         }
     }
 
-    synchronized void failed(LoanSource source, long wanted, long now) {
+    synchronized void failed(LoanSource source, long now) {
         source.failed(FAILED_BACKOFF_MILLIS, now);
-        expectedMicros = Math.max(0, expectedMicros - wanted);
     }
 
     /** Returns the time in which one token accrues at the configured rate, in milliseconds. */
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanSource.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanSource.java
@@ -13,7 +13,8 @@
     private long spare;
     private long spareAt;
     private long notBefore;
-    private boolean asked;
+    private long askedMicros;
+    private long askedAt;
     private List<LoanSettlement> settled = new ArrayList<>();
     private long settledAt;
 
@@ -29,7 +30,7 @@
 
     /** Returns whether a request may be sent now. */
     boolean available(long now) {
-        return !asked && now - notBefore >= 0;
+        return askedMicros == 0 && now - notBefore >= 0;
     }
 
     /** Returns the tokens that the owner probably has, if nobody else borrowed meanwhile, in millionths. */
@@ -58,12 +59,22 @@
         return taken;
     }
 
-    void asked() {
-        asked = true;
+    void asked(long wanted, long now) {
+        askedMicros = wanted;
+        askedAt = now;
+    }
+
+    /** Returns what a request that was sent within the given time will probably bring. */
+    long underWay(long withinMillis, long now) {
+        return now - askedAt < withinMillis ? askedMicros : 0;
+    }
+
+    boolean waitsForAnswer() {
+        return askedMicros > 0;
     }
 
     void answered(long wanted, LoanGrant grant, long now) {
-        asked = false;
+        askedMicros = 0;
         if (grant.grantedMicros() < wanted) {
             spare = 0;
             notBefore = now + grant.retryAfterMillis();
@@ -74,7 +85,7 @@
     }
 
     void failed(long retryAfterMillis, long now) {
-        asked = false;
+        askedMicros = 0;
         spare = 0;
         spareAt = now;
         notBefore = now + retryAfterMillis;
--- a/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
@@ -143,7 +143,7 @@
                 return;
             }
             oldest.remove();
-            ask.account().failed(ask.source(), ask.wanted(), now);
+            ask.account().failed(ask.source(), now);
         }
     }
 
@@ -159,7 +159,7 @@
     public void failed(long askId, long now) {
         Pending ask = pending.remove(askId);
         if (ask != null) {
-            ask.account().failed(ask.source(), ask.wanted(), now);
+            ask.account().failed(ask.source(), now);
         }
     }
 
