Borrow from the fullest shard first

Cause: a bucket that is full loses its refill, while the own zone's buckets are drained; the limit then refills at a quarter of the rate after a burst. Change: sources are asked in the order of their probable level; the own zone is preferred up to a quarter less.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -28,6 +28,8 @@
     /** How long a source that did not answer is left alone. */
     private static final long FAILED_BACKOFF_MILLIS = 500;
 
+    /** A source of the own zone is preferred to others that have at most this fraction more. */
+    private static final int OWN_ZONE_ADVANTAGE = 4;
     /** Multiplier of a linear congruential generator modulo 2^64, which spreads the rounds over the shards. */
     private static final long LEAP = 6364136223846793005L;
 
@@ -161,16 +163,20 @@
         return sum;
     }
 
+    /**
+     * The fullest sources come first: their refill would otherwise be lost when they are full. The scan starts
+     * elsewhere each time, because nodes that need tokens at the same time would compete for the same shards.
+     */
     private void borrow(long missing, AskSink sink) {
         long left = missing;
         int count = sources.size();
         round = LEAP * round + 1;
+        int start = count == 0 ? 0 : (int) Math.floorMod(round >>> 33, count);
         for (int i = 0; i < count && left > 0; i++) {
-            LoanSource source = sources.get(index(i, count));
-            long expected = source.available(latest) ? source.expected(latest) : 0;
-            long wanted = wanted(left, expected);
+            LoanSource source = fullest(start, count);
+            long wanted = source == null ? 0 : wanted(left, source.expected(latest));
             if (wanted == 0) {
-                continue;
+                return;
             }
             source.asked(wanted, latest);
             sink.ask(this, source, wanted);
@@ -178,16 +184,23 @@
         }
     }
 
-    /**
-     * Own zone first; within it and within the others every round starts elsewhere, because nodes that need tokens at
-     * the same time would otherwise compete for the same shards.
-     */
-    private int index(int i, int count) {
-        if (i < ownCount) {
-            return (int) Math.floorMod((round >>> 33) + i, ownCount);
+    private LoanSource fullest(int start, int count) {
+        LoanSource fullest = null;
+        long most = 0;
+        for (int i = 0; i < count; i++) {
+            int index = (start + i) % count;
+            LoanSource source = sources.get(index);
+            if (!source.available(latest)) {
+                continue;
+            }
+            long expected = source.expected(latest);
+            long score = index < ownCount ? expected + expected / OWN_ZONE_ADVANTAGE : expected;
+            if (score > most) {
+                fullest = source;
+                most = score;
+            }
         }
-        int others = count - ownCount;
-        return ownCount + (int) Math.floorMod((round >>> 40) + i, others);
+        return fullest;
     }
 
     private static long wanted(long left, long expected) {
