Hold a limit in fewer and larger shares

Cause: with 24 shares of 8 tokens, fractions of a token in each bucket add up to a tenth of the burst, and a borrower needs several rounds to find whole ones. Ruled out: the order of the shards alone. Change: a share holds at least 25 tokens of burst instead of 8.

--- a/core/src/main/java/org/trefoilledge/core/limit/ShareMap.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/ShareMap.java
@@ -16,7 +16,7 @@
     public static final long TOKEN_MICROS = 1_000_000;
 
     /** A share below this many tokens of burst would often be too small to serve a short burst by itself. */
-    private static final int LEAST_BURST_PER_SHARD = 8;
+    private static final int LEAST_BURST_PER_SHARD = 25;
 
     private ShareMap() {}
 
