Lend fractions of a token

Cause: the shares of a small organisation are about one token, so that most of its limit is in fractions that no borrower could take. Ruled out: the number of shares, which is one per zone already. Change: borrowers collect fractions of at least a twentieth of a token; what they cannot use goes back with the settlement.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -204,11 +204,8 @@
     }
 
     private static long wanted(long left, long expected) {
-        long whole = (left + TOKEN - 1) / TOKEN * TOKEN;
-        if (expected >= whole) {
-            return whole;
-        }
-        return expected >= TOKEN ? expected / TOKEN * TOKEN : 0;
+        long wanted = Math.min(left, expected);
+        return wanted >= ShareMap.LEAST_LOAN_MICROS ? wanted : 0;
     }
 
     synchronized void answered(LoanSource source, long askId, long wanted, LoanGrant grant, long sentAt, long now) {
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanAsk.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanAsk.java
@@ -9,7 +9,7 @@
  *
  * @param id identifies the request within one run of the node, for {@link Wallet#answered} and {@link Wallet#failed}
  * @param zone zone of the shard
- * @param wantedMicros wanted tokens in millionths; an owner grants whole tokens if this is a whole number of tokens;
+ * @param wantedMicros wanted tokens in millionths; fractions of a token are possible;
  *     0 if the request only carries settlements, which needs no response
  * @param settled earlier loans of the same organisation and shard that the borrower has finished with
  */
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanBook.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanBook.java
@@ -108,8 +108,8 @@
 
     /**
      * Takes the settlements of a request and lends tokens. The caller checks this node's authority over the shard
-     * before, and sends the response after this call. A wanted amount that is a whole number of tokens is granted in
-     * whole tokens.
+     * before, and sends the response after this call.
+     *
      */
     public LoanGrant lend(Borrower borrower, LoanAsk ask, long now) {
         return lend(borrower, ask.id(), ask.organisation(), ask.shard(), ask.wantedMicros(), ask.settled(), now);
--- a/core/src/main/java/org/trefoilledge/core/limit/ShardBucket.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/ShardBucket.java
@@ -38,8 +38,8 @@
             return new LoanGrant(0, 0);
         }
         long granted = Math.min(wanted, level);
-        if (granted < wanted && wanted % ShareMap.TOKEN_MICROS == 0) {
-            granted -= granted % ShareMap.TOKEN_MICROS;
+        if (granted < Math.min(wanted, ShareMap.LEAST_LOAN_MICROS)) {
+            granted = 0;
         }
         if (granted > 0) {
             level -= granted;
--- a/core/src/main/java/org/trefoilledge/core/limit/ShareMap.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/ShareMap.java
@@ -15,6 +15,9 @@
     /** Tokens in millionths. */
     public static final long TOKEN_MICROS = 1_000_000;
 
+    /** Smaller fractions of a token are neither asked for nor lent, because the messages would outweigh them. */
+    static final long LEAST_LOAN_MICROS = 50_000;
+
     /** A share below this many tokens of burst would often be too small to serve a short burst by itself. */
     private static final int LEAST_BURST_PER_SHARD = 25;
 
