Ask for the last fraction of a token

Cause: a borrower that lacks less than a twentieth of a token asks for nothing. Change: it asks for a twentieth.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -204,7 +204,7 @@
     }
 
     private static long wanted(long left, long expected) {
-        long wanted = Math.min(left, expected);
+        long wanted = Math.min(Math.max(left, ShareMap.LEAST_LOAN_MICROS), expected);
         return wanted >= ShareMap.LEAST_LOAN_MICROS ? wanted : 0;
     }
 
