Shorten the back-off from owners without tokens and from failures

Cause: an owner without spare tokens sent borrowers away until a quarter of its depth was full, although settlements return tokens earlier; one lost message kept a borrower from a shard for 700 ms. Change: back off until about one token is there; after a failure for 20 ms, doubling up to 1 s; give a request up after 100 ms.

--- a/core/src/main/java/org/trefoilledge/core/limit/Account.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Account.java
@@ -25,8 +25,6 @@
     private static final long KEEP_MILLIS = 40;
     /** After this time an answer is late, and requests that wait are better served by other sources. */
     private static final long USUAL_ANSWER_MILLIS = 8;
-    /** How long a source that did not answer is left alone. */
-    private static final long FAILED_BACKOFF_MILLIS = 500;
 
     /** A source of the own zone is preferred to others that have at most this fraction more. */
     private static final int OWN_ZONE_ADVANTAGE = 4;
@@ -216,7 +214,7 @@
     }
 
     synchronized void failed(LoanSource source, long now) {
-        source.failed(FAILED_BACKOFF_MILLIS, now);
+        source.failed(now);
     }
 
     /** Returns the time in which one token accrues at the configured rate, in milliseconds. */
--- a/core/src/main/java/org/trefoilledge/core/limit/LoanSource.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/LoanSource.java
@@ -6,6 +6,11 @@
 
 /** What a borrower knows about one shard that holds a part of an organisation's limit. Not thread-safe. */
 final class LoanSource {
+    /** A single failure is mostly a lost or slow message, several mean that the owner is gone. */
+    private static final long FIRST_BACKOFF_MILLIS = 20;
+
+    private static final long LONGEST_BACKOFF_MILLIS = 1_000;
+
     final ZoneId zone;
     final int shard;
     private final long rate;
@@ -17,6 +22,7 @@
     private long askedAt;
     private List<LoanSettlement> settled = new ArrayList<>();
     private long settledAt;
+    private long backoffMillis = FIRST_BACKOFF_MILLIS;
 
     LoanSource(ZoneId zone, int shard, long rate, long burst, long now) {
         this.zone = zone;
@@ -75,6 +81,7 @@
 
     void answered(long wanted, LoanGrant grant, long now) {
         askedMicros = 0;
+        backoffMillis = FIRST_BACKOFF_MILLIS;
         if (grant.grantedMicros() < wanted) {
             spare = 0;
             notBefore = now + grant.retryAfterMillis();
@@ -84,11 +91,13 @@
         spareAt = now;
     }
 
-    void failed(long retryAfterMillis, long now) {
+    /** Backs off, twice as long after each further failure. */
+    void failed(long now) {
         askedMicros = 0;
         spare = 0;
         spareAt = now;
-        notBefore = now + retryAfterMillis;
+        notBefore = now + backoffMillis;
+        backoffMillis = Math.min(LONGEST_BACKOFF_MILLIS, 2 * backoffMillis);
     }
 
     boolean sameAs(LoanSource other) {
--- a/core/src/main/java/org/trefoilledge/core/limit/ShardBucket.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/ShardBucket.java
@@ -95,7 +95,7 @@
     }
 
     private long retryAfter(long missing, long hold) {
-        long useful = Math.min(missing, Math.max(Math.min(ShareMap.TOKEN_MICROS, burst), burst / 4));
+        long useful = Math.min(missing, Math.max(Math.min(ShareMap.TOKEN_MICROS, burst), burst / 16));
         long lacking = Math.max(0, useful - level);
         return Math.max(1, rate == 0 ? hold : Math.min(hold, lacking * MILLIS_PER_SECOND / rate + 1));
     }
--- a/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
@@ -21,7 +21,7 @@
  */
 public final class Wallet {
     /** A request without an answer is given up after this time; the transport usually reports the failure earlier. */
-    private static final long ANSWER_TIMEOUT_MILLIS = 200;
+    private static final long ANSWER_TIMEOUT_MILLIS = 100;
 
     private static final long LONGEST_RETRY_AFTER_MILLIS = 60_000;
 
