Send loan requests soon after a request found no token

Cause: with a tick every 10 ms and answers after up to 4 ms, a request that waits 25 ms gets only one or two rounds, too few when other nodes were faster. Change: the wallet says when a request waits; the control thread then ticks after 2 ms, which still collects the requests of a burst.

--- a/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/Wallet.java
@@ -20,6 +20,9 @@
  * control thread. Times are milliseconds of the node's clock.
  */
 public final class Wallet {
+    /** Least time between two ticks when requests wait; it collects the requests of a burst. */
+    public static final long URGENT_TICK_MILLIS = 2;
+
     /** A request without an answer is given up after this time; the transport usually reports the failure earlier. */
     private static final long ANSWER_TIMEOUT_MILLIS = 100;
 
@@ -31,6 +34,7 @@
     private final List<Account> active = new ArrayList<>();
     private final Map<Long, Pending> pending = new LinkedHashMap<>();
     private volatile Map<OrganisationId, Account> accounts = Map.of();
+    private volatile boolean urgent;
     private long nextId = 1;
 
     private record Pending(Account account, LoanSource source, long wanted, long sentAt) {}
@@ -108,14 +112,23 @@
         if (result == Account.Take.TAKEN_AND_WOKEN || result == Account.Take.MISSED_AND_WOKEN) {
             woken.add(account);
         }
+        if (!repeated && (result == Account.Take.MISSED || result == Account.Take.MISSED_AND_WOKEN)) {
+            urgent = true;
+        }
         return result == Account.Take.TAKEN || result == Account.Take.TAKEN_AND_WOKEN;
     }
 
     /**
-     * Returns the loan requests to send now. Called every 10 ms; an additional call when a request found no token
-     * shortens its wait.
+     * Returns whether a request waits for a token and the next tick would probably ask for one. The control thread should
+     * then call {@link #tick} after {@link #URGENT_TICK_MILLIS} instead of 10 ms. Any thread may call this.
      */
+    public boolean urgent() {
+        return urgent;
+    }
+
+    /** Returns the loan requests to send now. Called every 10 ms, earlier if {@link #urgent}. */
     public List<LoanAsk> tick(long now) {
+        urgent = false;
         giveUp(now);
         for (Account account = woken.poll(); account != null; account = woken.poll()) {
             active.add(account);
@@ -152,6 +165,9 @@
         Pending ask = pending.remove(askId);
         if (ask != null) {
             ask.account().answered(ask.source(), askId, ask.wanted(), grant, ask.sentAt(), now);
+            if (grant.grantedMicros() < ask.wanted()) {
+                urgent = true;
+            }
         }
     }
 
--- a/core/src/test/java/org/trefoilledge/core/limit/LimitSimulation.java
+++ b/core/src/test/java/org/trefoilledge/core/limit/LimitSimulation.java
@@ -54,6 +54,7 @@
         long mayActFrom;
         long authorityUntil;
         int revision;
+        boolean hurries;
         int run;
         Set<Integer> owned = Set.of();
         final Map<OrganisationId, ArrayDeque<Waiting>> waiting = new HashMap<>();
@@ -234,6 +235,7 @@
 
     private void answered(Node node, LoanAsk ask, LoanGrant grant) {
         node.wallet.answered(ask.id(), grant, node.clock());
+        hurry(node);
         ArrayDeque<Waiting> queue = node.waiting.get(ask.organisation());
         while (queue != null && !queue.isEmpty()) {
             if (queue.peek().deadline >= now) {
@@ -246,6 +248,17 @@
         }
     }
 
+    private void hurry(Node node) {
+        if (!node.wallet.urgent() || node.hurries) {
+            return;
+        }
+        node.hurries = true;
+        schedule(now + Wallet.URGENT_TICK_MILLIS, () -> {
+            node.hurries = false;
+            at(node, node::tick);
+        });
+    }
+
     private void admit(Request request) {
         request.admitted = true;
         admissions
@@ -267,6 +280,7 @@
                         entry.waiting
                                 .computeIfAbsent(organisation, id -> new ArrayDeque<>())
                                 .add(new Waiting(request, now + settings.waitMillis()));
+                        hurry(entry);
                     }
                 }));
     }
