--- a/core/src/main/java/org/trefoilledge/core/limit/ShareMap.java
+++ b/core/src/main/java/org/trefoilledge/core/limit/ShareMap.java
@@ -18,9 +18,6 @@
     /** Smaller fractions of a token are neither asked for nor lent, because the messages would outweigh them. */
     static final long LEAST_LOAN_MICROS = 50_000;
 
-    /** Two shares are kept down to this burst each, so that the death of an owner takes half as much. */
-    private static final int LEAST_BURST_OF_TWO = 4;
-
     /** A share below this many tokens of burst would often be too small to serve a short burst by itself. */
     private static final int LEAST_BURST_PER_SHARD = 25;
 
@@ -28,9 +25,8 @@
 
     /** Returns how many shards of each zone hold a part of a limit with the given burst. */
     public static int count(double burst, int zones, int shardsPerZone) {
-        int most = Math.min(shardsPerZone, (int) Math.min(Integer.MAX_VALUE, burst / zones / LEAST_BURST_PER_SHARD));
-        boolean two = shardsPerZone > 1 && burst / zones >= 2 * LEAST_BURST_OF_TWO;
-        return Math.max(most, two ? 2 : 1);
+        double affordable = Math.floor(burst / ((double) zones * LEAST_BURST_PER_SHARD));
+        return (int) Math.max(1, Math.min(affordable, shardsPerZone));
     }
 
     /**
