--- a/operator/src/main/java/org/trefoilledge/operator/OperatorMain.java
+++ b/operator/src/main/java/org/trefoilledge/operator/OperatorMain.java
@@ -7,6 +7,7 @@
 import java.util.Base64;
 import java.util.HexFormat;
 import org.trefoilledge.core.Clock;
+import org.trefoilledge.load.Demo;
 import org.trefoilledge.platform.EtcdSettings;
 import org.trefoilledge.platform.EtcdStore;
 import picocli.CommandLine;
@@ -76,6 +77,7 @@
                 .addSubcommand(new DrainCommand(environment))
                 .addSubcommand(new StatusCommand(environment))
                 .addSubcommand(new ExplainCommand(environment))
+                .addSubcommand(new Demo())
                 .addSubcommand(zone);
         return command.setOut(environment.out())
                 .setErr(environment.err())
