--- a/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
@@ -12,6 +12,7 @@
 
 import com.google.protobuf.ByteString;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -170,6 +171,37 @@
         }
     }
 
+    /** Guards against unbounded responses for a peer that sends requests and reads nothing. */
+    @Test
+    void peerThatReadsNoResponsesIsNotReadUntilItDoes() throws Exception {
+        int requests = 60;
+        try (RawPeer peer = RawPeer.connect(transport.address())) {
+            peer.write(frame(RawPeer.hello(PEER)));
+            peer.read();
+            Thread writer = new Thread(() -> writeRequests(peer, requests));
+            writer.start();
+            writer.join(1_000);
+            assertThat(handled).hasSizeBetween(1, requests / 2);
+            for (int i = 1; i <= requests; i++) {
+                assertThat(peer.read().getStream()).isEqualTo(i);
+            }
+        }
+    }
+
+    private static void writeRequests(RawPeer peer, int requests) {
+        Call call = Call.newBuilder()
+                .setBody(ByteString.copyFrom(new byte[BODY_BYTES]))
+                .build();
+        try {
+            for (int i = 1; i <= requests; i++) {
+                peer.write(
+                        frame(Envelope.newBuilder().setStream(i).setCall(call).build()));
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Guards against a peer that never says who it is and so holds requests for longer than their callers wait. */
     @Test
     void peerWithoutHelloFailsTheRequestAsNotSent() throws Exception {
