--- a/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
@@ -165,7 +165,7 @@
             release(request);
         }
         open.remove(request.stream());
-        if (unanswered && request.stream() != 0 && request.mayCancel()) {
+        if (unanswered && request.stream() != 0) {
             sendCancel(request.stream());
         }
         request.fail("cancelled");
--- a/wire/src/main/java/org/trefoilledge/wire/PendingRequest.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PendingRequest.java
@@ -20,7 +20,6 @@
     private ScheduledFuture<?> timer;
     private long stream;
     private boolean rerouted;
-    private boolean cancelled;
 
     PendingRequest(String address, Envelope request, long timeoutMillis) {
         this.address = address;
@@ -70,13 +69,6 @@
         return first;
     }
 
-    /** Returns true once: the peer is told of one cancellation. */
-    boolean mayCancel() {
-        boolean first = !cancelled;
-        cancelled = true;
-        return first;
-    }
-
     void answered(Envelope response) {
         stopTimer();
         complete(response);
