--- a/scenarios/src/test/java/org/trefoilledge/scenarios/ChildProcess.java
+++ b/scenarios/src/test/java/org/trefoilledge/scenarios/ChildProcess.java
@@ -1,5 +1,6 @@
 package org.trefoilledge.scenarios;
 
+import java.io.File;
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.nio.file.Path;
@@ -7,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /** A Java process that this test started, with the test's own class path. */
 final class ChildProcess {
@@ -26,13 +28,21 @@
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JAVA_OPTIONS);
         command.add("-cp");
-        command.add(System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+        command.add(classPath());
         command.add(mainClass);
         command.addAll(Arrays.asList(arguments));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         return new ChildProcess(builder.redirectOutput(output.toFile()).start());
     }
 
+    /** Leaves the test's own directory out, because its logging configuration is not meant for the programs. */
+    private static String classPath() {
+        String all = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        return Arrays.stream(all.split(File.pathSeparator))
+                .filter(entry -> !Path.of(entry).endsWith("test-classes"))
+                .collect(Collectors.joining(File.pathSeparator));
+    }
+
     /** Sends a signal, such as {@code STOP}, to this process only. */
     void signal(String name) throws IOException {
         Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
