--- a/load/src/main/java/org/trefoilledge/load/Caller.java
+++ b/load/src/main/java/org/trefoilledge/load/Caller.java
@@ -91,7 +91,11 @@
                 kind == null ? null : kind.getValue(),
                 retryAfter == null ? null : retryAfter.getValue(),
                 content == null ? "" : content,
-                route.expectedEcho(path, body));
+                text -> RequestEcho.matches(route.echo(), text, path, root, bodyBytes()));
+    }
+
+    private int bodyBytes() {
+        return body.getBytes(StandardCharsets.UTF_8).length;
     }
 
     private void finish(long sent, Result result) {
--- a/load/src/main/java/org/trefoilledge/load/Deployment.java
+++ b/load/src/main/java/org/trefoilledge/load/Deployment.java
@@ -143,7 +143,9 @@
                 "--service-time-ms",
                 number(upstream.serviceTimeMillis()),
                 "--service-time-spread",
-                Double.toString(upstream.serviceTimeSpread())));
+                Double.toString(upstream.serviceTimeSpread()),
+                "--cold-start-ms",
+                Long.toString(upstream.coldStartMillis())));
         for (String call : upstream.calls()) {
             command.add("--calls");
             command.add(call);
@@ -262,19 +264,22 @@
         return found;
     }
 
-    /** Collects what the upstreams executed; an upstream that does not respond counts as having executed nothing. */
-    WastedExecutions wasted(Set<Long> wholeRoots) {
-        List<WastedExecutions> parts = new ArrayList<>();
+    /**
+     * Returns what the upstreams executed for nothing; an upstream that does not respond counts as having executed
+     * nothing.
+     */
+    WastedExecutions wasted(List<RootRequest> roots, List<CallerGroup> groups) {
+        List<WastedExecutions.Totals> totals = new ArrayList<>();
         for (int i = 0; i < hosts.size(); i++) {
             try {
-                parts.add(WastedExecutions.of(
-                        control.get("http://" + ports.upstream(i) + "/.standin/executions"), wholeRoots));
+                totals.add(WastedExecutions.Totals.of(
+                        control.get("http://" + ports.upstream(i) + "/.standin/executions")));
             } catch (IOException e) {
                 System.err.println(
                         "no executions from the upstream of " + hosts.get(i).id() + ": " + e.getMessage());
             }
         }
-        return WastedExecutions.sum(parts);
+        return WastedExecutions.of(totals, new CallTree(inventory, settings).needed(roots, groups));
     }
 
     @Override
--- a/load/src/main/java/org/trefoilledge/load/DeploymentSettings.java
+++ b/load/src/main/java/org/trefoilledge/load/DeploymentSettings.java
@@ -33,6 +33,6 @@
         return upstreams.stream()
                 .filter(u -> u.service().equals(service))
                 .findFirst()
-                .orElseGet(() -> new UpstreamSettings(service, 10, 0.3, List.of()));
+                .orElseGet(() -> new UpstreamSettings(service, 10, 0.3, 0, List.of()));
     }
 }
--- a/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
+++ b/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
@@ -115,7 +115,8 @@
             upstreams.add(new UpstreamSettings(
                     entry.text("service"),
                     entry.number("service_time_ms", 0, 60_000, 10),
-                    entry.number("service_time_spread", 0, 10, 0.3),
+                    entry.number("service_time_spread", 0, 1, 0.3),
+                    entry.integer("cold_start_ms", 0, 600_000, 0),
                     entry.texts("calls")));
         }
         return upstreams;
@@ -168,7 +169,7 @@
                     importance(entry),
                     entry.number("weight", 0, 1_000_000, 1),
                     entry.flag("idempotency_key", false),
-                    entry.text("echo", RequestEcho.DEFAULT)));
+                    entry.keys().contains("echo") ? entry.texts("echo") : RequestEcho.DEFAULT));
         }
         return routes;
     }
--- a/load/src/main/java/org/trefoilledge/load/ExperimentRunner.java
+++ b/load/src/main/java/org/trefoilledge/load/ExperimentRunner.java
@@ -9,8 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.trefoilledge.core.config.Inventory;
 
 /** Runs an experiment under each of its profiles, one after the other. */
@@ -75,17 +73,13 @@
         List<RootRequest> roots = journal.roots();
         List<Attempt> attempts = journal.attempts();
         WastedExecutions wasted =
-                deployment.map(d -> d.wasted(wholeRoots(roots))).orElse(WastedExecutions.NONE);
+                deployment.map(d -> d.wasted(roots, resolved.groups())).orElse(WastedExecutions.NONE);
         Figures figures = Figures.of(profile, resolved, roots, attempts, wasted);
         TimeSeries series = TimeSeries.of(resolved.durationSeconds(), roots, attempts);
         writeCsv(own, figures, series);
         return new ProfileRun(profile, figures, series, failures);
     }
 
-    private static Set<Long> wholeRoots(List<RootRequest> roots) {
-        return roots.stream().filter(RootRequest::whole).map(RootRequest::id).collect(Collectors.toSet());
-    }
-
     private static void writeCsv(Path directory, Figures figures, TimeSeries series) throws IOException {
         Files.writeString(directory.resolve("seconds.csv"), CsvReport.seconds(series));
         Files.writeString(directory.resolve("organisations.csv"), CsvReport.organisations(figures));
--- a/load/src/main/java/org/trefoilledge/load/RequestEcho.java
+++ b/load/src/main/java/org/trefoilledge/load/RequestEcho.java
@@ -1,37 +1,38 @@
 package org.trefoilledge.load;
 
-/** What a whole answer must contain, and the mark by which executions are matched to root requests. */
+import java.util.List;
+
+/** What a whole answer must contain. */
 final class RequestEcho {
-    /** The upstream stand-in repeats the path with the query that it received. */
-    static final String DEFAULT = "{path}";
+    /** The upstream stand-in repeats the path without its query, the id of the query, and the size of the body. */
+    static final List<String> DEFAULT =
+            List.of("\"path\":\"{path}\"", "\"requestId\":\"{id}\"", "\"bodyBytes\":{bytes}", "}");
 
     private static final int WIDTH = 10;
-    private static final String PARAMETER = "root=";
 
     private RequestEcho() {}
 
     /**
-     * Returns a path whose query names the root request. The number has a fixed width, so that no path is the beginning
-     * of another one.
+     * Returns the id of a root request. Ids have a fixed width, so that no id is the beginning of another one.
      */
-    static String tagged(String path, long root) {
+    static String id(long root) {
         String digits = Long.toString(root);
-        String padding = "0".repeat(Math.max(0, WIDTH - digits.length()));
-        return path + (path.indexOf('?') < 0 ? '?' : '&') + PARAMETER + padding + digits;
+        return "0".repeat(Math.max(0, WIDTH - digits.length())) + digits;
+    }
+
+    /** Returns a path whose query names the root request, which makes every echo unique in a run. */
+    static String tagged(String path, long root) {
+        return path + (path.indexOf('?') < 0 ? "?id=" : "&id=") + id(root);
     }
 
-    /** Returns the root request that a path names, -1 if it names none. */
-    static long root(String path) {
-        int start = path.indexOf(PARAMETER);
-        if (start < 0) {
-            return -1;
-        }
-        int end = start + PARAMETER.length();
-        long root = 0;
-        int first = end;
-        while (end < path.length() && Character.isDigit(path.charAt(end))) {
-            root = root * 10 + (path.charAt(end++) - '0');
-        }
-        return end == first ? -1 : root;
+    /** Returns whether a body contains all texts of a pattern. */
+    static boolean matches(List<String> pattern, String body, String path, long root, int bodyBytes) {
+        int query = path.indexOf('?');
+        String plain = query < 0 ? path : path.substring(0, query);
+        return pattern.stream()
+                .map(text -> text.replace("{path}", plain)
+                        .replace("{id}", id(root))
+                        .replace("{bytes}", Integer.toString(bodyBytes)))
+                .allMatch(body::contains);
     }
 }
--- a/load/src/main/java/org/trefoilledge/load/ResponseCheck.java
+++ b/load/src/main/java/org/trefoilledge/load/ResponseCheck.java
@@ -1,6 +1,7 @@
 package org.trefoilledge.load;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.trefoilledge.core.ErrorKind;
 
 /** Decides how an attempt ended from its response. */
@@ -15,9 +16,9 @@
      *
      * @param kind value of the header {@code Trefoilledge-Kind}, null if absent
      * @param retryAfter value of the header {@code Retry-After} in seconds, null if absent
-     * @param expectedEcho text that the body of a whole answer contains
+     * @param echo decides whether the body is the expected one
      */
-    static Result classify(int status, String kind, String retryAfter, String body, String expectedEcho) {
+    static Result classify(int status, String kind, String retryAfter, String body, Predicate<String> echo) {
         Optional<ErrorKind> refusal = errorKind(kind);
         if (refusal.isPresent()) {
             return Result.refused(refusal.get(), status, retryAfterMillis(retryAfter, body));
@@ -25,7 +26,7 @@
         if (status < 200 || status > 299) {
             return Result.of(Result.Outcome.STATUS, status);
         }
-        return body.contains(expectedEcho) ? Result.WHOLE : Result.of(Result.Outcome.WRONG_BODY, status);
+        return echo.test(body) ? Result.WHOLE : Result.of(Result.Outcome.WRONG_BODY, status);
     }
 
     private static Optional<ErrorKind> errorKind(String text) {
--- a/load/src/main/java/org/trefoilledge/load/RouteLoad.java
+++ b/load/src/main/java/org/trefoilledge/load/RouteLoad.java
@@ -1,5 +1,6 @@
 package org.trefoilledge.load;
 
+import java.util.List;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.Importance;
 
@@ -10,7 +11,7 @@
  * @param importance importance under which the report counts the request
  * @param weight share of the mix, relative to the other routes
  * @param idempotencyKey whether requests carry an {@code Idempotency-Key} with a UUIDv7
- * @param echo text that a whole answer contains; {@code {path}} stands for the path sent, empty for no check
+ * @param echo texts that a whole answer contains, see {@link RequestEcho}
  */
 record RouteLoad(
         String id,
@@ -20,13 +21,13 @@
         Importance importance,
         double weight,
         boolean idempotencyKey,
-        String echo) {
+        List<String> echo) {
 
-    String concretePath(RandomGenerator random) {
-        return path.replace("{n}", Integer.toString(random.nextInt(1000)));
+    RouteLoad {
+        echo = List.copyOf(echo);
     }
 
-    String expectedEcho(String sentPath, String sentBody) {
-        return echo.replace("{path}", sentPath).replace("{body}", sentBody);
+    String concretePath(RandomGenerator random) {
+        return path.replace("{n}", Integer.toString(random.nextInt(1000)));
     }
 }
--- a/load/src/main/java/org/trefoilledge/load/UpstreamSettings.java
+++ b/load/src/main/java/org/trefoilledge/load/UpstreamSettings.java
@@ -5,9 +5,11 @@
 /**
  * How the upstream stand-ins of one service behave.
  *
+ * @param coldStartMillis time after each start with longer service times
  * @param calls requests that each execution makes to other services, for example {@code GET /stock/{n}}
  */
-record UpstreamSettings(String service, double serviceTimeMillis, double serviceTimeSpread, List<String> calls) {
+record UpstreamSettings(
+        String service, double serviceTimeMillis, double serviceTimeSpread, long coldStartMillis, List<String> calls) {
     UpstreamSettings {
         calls = List.copyOf(calls);
     }
--- a/load/src/test/java/org/trefoilledge/load/DeploymentPartsTest.java
+++ b/load/src/test/java/org/trefoilledge/load/DeploymentPartsTest.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -62,15 +61,40 @@
     }
 
     @Test
-    void executionsAreWastedIfLateOrIfTheirRootFailed() throws Exception {
-        String list =
+    void executionsAreWastedIfLateOrNotNeeded() throws Exception {
+        WastedExecutions.Totals totals = WastedExecutions.Totals.of(
+                new ObjectMapper().readTree("{\"totals\":{\"started\":12,\"finished\":10,\"wasted\":2},\"keys\":{}}"));
+        assertThat(WastedExecutions.of(List.of(totals, totals), 13)).isEqualTo(new WastedExecutions(20, 4, 3));
+    }
+
+    /** Guards against child calls that are counted as waste. */
+    @Test
+    void requestNeedsTheExecutionsOfItsChildCalls() throws Exception {
+        DeploymentSettings settings = ExperimentReader.read(
+                        Home.path().resolve("experiments/b-slow-service-nilebadge.toml"))
+                .deployment()
+                .orElseThrow();
+        CallTree tree = new CallTree(InventoryFile.read(settings.inventory()).inventory(), settings);
+        assertThat(tree.executions("GET", "/pickups/{n}", 1)).isEqualTo(3);
+        assertThat(tree.executions("POST", "/orders", 1)).isEqualTo(2);
+        assertThat(tree.executions("POST", "/previews", 1)).isEqualTo(1);
+        assertThat(tree.executions("GET", "/nowhere", 1)).isZero();
+    }
+
+    @Test
+    void nodeIsReadyWhenItSeesAllMembersServing() throws Exception {
+        String status =
                 """
-                [{"path":"/a?root=0000000001","finished":true,"late":false},
-                 {"path":"/a?root=0000000002","finished":true,"late":false},
-                 {"path":"/a?root=0000000001","finished":true,"late":true}]
+                {"host":"a","upstreamState":"serving","revision":%d,
+                 "members":[{"host":"b","state":"serving"},{"host":"c","state":"%s"}]}
                 """;
-        WastedExecutions wasted = WastedExecutions.of(new ObjectMapper().readTree(list), Set.of(1L));
-        assertThat(wasted).isEqualTo(new WastedExecutions(3, 1, 1));
+        ObjectMapper mapper = new ObjectMapper();
+        assertThat(Readiness.problem(mapper.readTree(status.formatted(1, "serving")), 3))
+                .isEmpty();
+        assertThat(Readiness.problem(mapper.readTree(status.formatted(1, "starting")), 3))
+                .isEqualTo("it sees 2 of 3 members serving");
+        assertThat(Readiness.problem(mapper.readTree(status.formatted(0, "serving")), 3))
+                .isEqualTo("it has no configuration yet");
     }
 
     /** Guards against processes that outlive the tool, also frozen ones. */
--- a/load/src/test/java/org/trefoilledge/load/DriverTest.java
+++ b/load/src/test/java/org/trefoilledge/load/DriverTest.java
@@ -25,7 +25,7 @@
                 duration_s = 1
                 arrivals = "uniform"
                 targets = ["127.0.0.1:%d"]
-                route = [{method = "POST", path = "/a", body = "x", idempotency_key = true}]
+                route = [{method = "POST", path = "/a", body = "x", idempotency_key = true, echo = ["{path}", "{id}"]}]
                 organisation = [{id = "one", key = "k", rate = 50}]
                 %s
                 """;
--- a/load/src/test/java/org/trefoilledge/load/ResponseCheckTest.java
+++ b/load/src/test/java/org/trefoilledge/load/ResponseCheckTest.java
@@ -6,16 +6,33 @@
 import org.trefoilledge.core.ErrorKind;
 
 class ResponseCheckTest {
+    private static Result answer(String body) {
+        return ResponseCheck.classify(
+                200,
+                null,
+                null,
+                body,
+                text -> RequestEcho.matches(RequestEcho.DEFAULT, text, "/a?id=0000000002", 2, 5));
+    }
+
     /** Guards against counting an answer to another request as goodput. */
     @Test
-    void answerWithoutTheExpectedEchoIsNotWhole() {
-        Result result = ResponseCheck.classify(200, null, null, "{\"path\":\"/a?root=1\"}", "/a?root=2");
+    void answerToAnotherRequestIsNotWhole() {
+        Result result = answer("{\"path\":\"/a\",\"requestId\":\"0000000001\",\"bodyBytes\":5}");
         assertThat(result.outcome()).isEqualTo(Result.Outcome.WRONG_BODY);
     }
 
+    /** Guards against counting an answer whose end is missing. */
+    @Test
+    void truncatedAnswerIsNotWhole() {
+        assertThat(answer("{\"path\":\"/a\",\"requestId\":\"0000000002\",\"bodyBytes\":5")
+                        .whole())
+                .isFalse();
+    }
+
     @Test
     void answerWithTheExpectedEchoIsWhole() {
-        assertThat(ResponseCheck.classify(201, null, null, "{\"path\":\"/a?root=2\"}", "/a?root=2")
+        assertThat(answer("{\"path\":\"/a\",\"requestId\":\"0000000002\",\"bodyBytes\":5}")
                         .whole())
                 .isTrue();
     }
@@ -23,20 +40,21 @@
     /** Guards against an upstream's own 429 being counted as a refusal of the rate limit. */
     @Test
     void statusWithoutAKindIsNotARefusal() {
-        Result result = ResponseCheck.classify(429, null, null, "", "");
+        Result result = ResponseCheck.classify(429, null, null, "", text -> true);
         assertThat(result.label()).isEqualTo("status-429");
         assertThat(result.is(ErrorKind.RATE_LIMITED)).isFalse();
     }
 
     @Test
     void refusalKeepsTheDelayOfItsBodyInMilliseconds() {
-        Result result = ResponseCheck.classify(429, "RATE_LIMITED", "1", "{\"retryAfterMs\": 130}", "");
+        Result result = ResponseCheck.classify(429, "RATE_LIMITED", "1", "{\"retryAfterMs\": 130}", text -> true);
         assertThat(result).isEqualTo(Result.refused(ErrorKind.RATE_LIMITED, 429, 130));
     }
 
     @Test
     void refusalWithoutADelayInItsBodyUsesTheHeaderInSeconds() {
-        assertThat(ResponseCheck.classify(503, "OVERLOADED", "2", "{}", "").retryAfterMillis())
+        assertThat(ResponseCheck.classify(503, "OVERLOADED", "2", "{}", text -> true)
+                        .retryAfterMillis())
                 .isEqualTo(2_000);
     }
 
@@ -62,11 +80,10 @@
                 .isFalse();
     }
 
-    /** Guards against a path that is the beginning of another one, which would let a wrong answer pass. */
+    /** Guards against an id that is the beginning of another one, which would let a wrong answer pass. */
     @Test
-    void taggedPathsAreNoPrefixesOfEachOther() {
-        assertThat(RequestEcho.tagged("/a", 12)).doesNotStartWith(RequestEcho.tagged("/a", 1));
-        assertThat(RequestEcho.root(RequestEcho.tagged("/a?x=1", 12))).isEqualTo(12);
-        assertThat(RequestEcho.root("/a")).isEqualTo(-1);
+    void idsAreNoPrefixesOfEachOther() {
+        assertThat(RequestEcho.id(12)).doesNotStartWith(RequestEcho.id(1));
+        assertThat(RequestEcho.tagged("/a?x=1", 12)).isEqualTo("/a?x=1&id=0000000012");
     }
 }
--- a/load/src/test/java/org/trefoilledge/load/RunCommandTest.java
+++ b/load/src/test/java/org/trefoilledge/load/RunCommandTest.java
@@ -27,7 +27,7 @@
                 name = "small"
                 duration_s = 2
                 targets = ["127.0.0.1:%d"]
-                route = [{path = "/a"}]
+                route = [{path = "/a", echo = ["{id}"]}]
                 organisation = [{id = "one", rate = 20}]
                 action = [{at_s = 0.5, put = "http://127.0.0.1:%d/.standin/settings", body = "{}"},
                   {at_s = 0.6, kill = "store"}]
