--- a/load/src/main/java/org/trefoilledge/load/Deployment.java
+++ b/load/src/main/java/org/trefoilledge/load/Deployment.java
@@ -67,6 +67,7 @@
     }
 
     private void startStore() throws IOException, StartException, InterruptedException {
+        refuseUsedPorts();
         String script = script("trefoilledge-standin");
         start("store", List.of(script, "store", "--listen", ports.store()), STANDIN_OPTIONS);
         long until = deadline(STORE_MILLIS);
@@ -76,6 +77,18 @@
         }
     }
 
+    /** Another deployment on the same ports would answer in place of this one. */
+    private void refuseUsedPorts() throws StartException {
+        List<String> addresses = new ArrayList<>(callerAddresses());
+        addresses.add(ports.store());
+        for (String address : addresses) {
+            if (Control.listening(address)) {
+                throw new StartException(
+                        "something already listens on " + address + "; choose another base port", directory);
+            }
+        }
+    }
+
     private void apply() throws IOException, StartException, InterruptedException {
         Path file = Files.writeString(directory.resolve("inventory.toml"), ScaledInventory.toml(inventory));
         Path log = directory.resolve("apply.log");
--- a/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
+++ b/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
@@ -100,7 +100,7 @@
         return Optional.of(new DeploymentSettings(
                 directory.resolve(section.text("hosts")).normalize(),
                 directory.resolve(section.text("inventory")).normalize(),
-                (int) section.integer("base_port", 1024, 60_000, DeploymentSettings.DEFAULT_BASE_PORT),
+                (int) section.integer("base_port", 1024, 64_000, DeploymentSettings.DEFAULT_BASE_PORT),
                 (int) section.integer("hosts_per_service", 1, 100, 100),
                 section.number("slots_factor", 0.0001, 100, 1),
                 section.number("connections_factor", 0.0001, 100, 1),
--- a/load/src/main/java/org/trefoilledge/load/PortPlan.java
+++ b/load/src/main/java/org/trefoilledge/load/PortPlan.java
@@ -6,8 +6,8 @@
     private static final int PORTS_PER_HOST = 10;
 
     PortPlan {
-        if (base < 1024 || base > 60_000) {
-            throw new IllegalArgumentException("the base port must be from 1024 to 60000, but was: " + base);
+        if (base < 1024 || base > 64_000) {
+            throw new IllegalArgumentException("the base port must be from 1024 to 64000, but was: " + base);
         }
     }
 
