--- a/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
+++ b/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
@@ -100,7 +100,7 @@
         return Optional.of(new DeploymentSettings(
                 directory.resolve(section.text("hosts")).normalize(),
                 directory.resolve(section.text("inventory")).normalize(),
-                (int) section.integer("base_port", 1024, 60_000, DeploymentSettings.DEFAULT_BASE_PORT),
+                (int) section.integer("base_port", 1024, 64_000, DeploymentSettings.DEFAULT_BASE_PORT),
                 (int) section.integer("hosts_per_service", 1, 100, 100),
                 section.number("slots_factor", 0.0001, 100, 1),
                 section.number("connections_factor", 0.0001, 100, 1),
@@ -115,7 +115,8 @@
             upstreams.add(new UpstreamSettings(
                     entry.text("service"),
                     entry.number("service_time_ms", 0, 60_000, 10),
-                    entry.number("service_time_spread", 0, 10, 0.3),
+                    entry.number("service_time_spread", 0, 1, 0.3),
+                    entry.integer("cold_start_ms", 0, 600_000, 0),
                     entry.texts("calls")));
         }
         return upstreams;
@@ -168,7 +169,7 @@
                     importance(entry),
                     entry.number("weight", 0, 1_000_000, 1),
                     entry.flag("idempotency_key", false),
-                    entry.text("echo", RequestEcho.DEFAULT)));
+                    entry.keys().contains("echo") ? entry.texts("echo") : RequestEcho.DEFAULT));
         }
         return routes;
     }
