--- a/platform/src/main/java/org/trefoilledge/platform/AppendResult.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/AppendResult.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** What became of an attempt to append an entry to the configuration log. */
 public sealed interface AppendResult {
--- a/platform/src/main/java/org/trefoilledge/platform/ConfigSnapshot.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/ConfigSnapshot.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import org.trefoilledge.core.config.Inventory;
 
--- a/platform/src/main/java/org/trefoilledge/platform/ConfigStore.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/ConfigStore.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/platform/src/main/java/org/trefoilledge/platform/EtcdSettings.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/EtcdSettings.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import java.net.URI;
 import java.util.List;
--- a/platform/src/main/java/org/trefoilledge/platform/EtcdStore.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/EtcdStore.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
--- a/platform/src/main/java/org/trefoilledge/platform/EtcdWatch.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/EtcdWatch.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/org/trefoilledge/platform/HealResult.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/HealResult.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /**
  * What became of an attempt to write missing entries back.
--- a/platform/src/main/java/org/trefoilledge/platform/InventoryParser.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/InventoryParser.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/platform/src/main/java/org/trefoilledge/platform/LogKeys.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/LogKeys.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** Keys of the configuration log and its snapshots. Ten digits keep the order of the keys that of the revisions. */
 final class LogKeys {
--- a/platform/src/main/java/org/trefoilledge/platform/OperationOutcome.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/OperationOutcome.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** What the log shows about an operation at its revision. */
 public enum OperationOutcome {
--- a/platform/src/main/java/org/trefoilledge/platform/SettingsException.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/SettingsException.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** A settings file or inventory that cannot be used. The message names file, line, column and what was expected. */
 public class SettingsException extends Exception {
--- a/platform/src/main/java/org/trefoilledge/platform/SnapshotCodec.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/SnapshotCodec.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.nio.charset.StandardCharsets;
--- a/platform/src/main/java/org/trefoilledge/platform/Store.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/Store.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/org/trefoilledge/platform/StoreException.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/StoreException.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** The store did not do what was asked. */
 public class StoreException extends Exception {
--- a/platform/src/main/java/org/trefoilledge/platform/StoreOutcomeUnknownException.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/StoreOutcomeUnknownException.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** The answer was lost: the request may have taken effect. */
 public class StoreOutcomeUnknownException extends StoreException {
--- a/platform/src/main/java/org/trefoilledge/platform/StoreUnavailableException.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/StoreUnavailableException.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** The store refused the request or could not be reached; the request had no effect. */
 public class StoreUnavailableException extends StoreException {
--- a/platform/src/main/java/org/trefoilledge/platform/StoredValue.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/StoredValue.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /**
  * A value of the store.
--- a/platform/src/main/java/org/trefoilledge/platform/TomlReader.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/TomlReader.java
@@ -1,6 +1,9 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -8,6 +11,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
@@ -19,6 +24,9 @@
  * that nobody asked for. Every error names file, line, column and what was expected.
  */
 public final class TomlReader {
+    private static final Pattern ADDRESS = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:.]+\\]):([0-9]{1,5})");
+    private static final String EXPECTED_ADDRESS = "an IP address and port such as 127.0.0.1:8080";
+
     private final String file;
     private final TomlTable table;
     private final TomlPosition start;
@@ -120,6 +128,21 @@
         return value == null ? otherwise : value;
     }
 
+    /** Returns a required IP address with a port. Names are not resolved. */
+    public InetSocketAddress address(String key) throws SettingsException {
+        String value = text(key);
+        Matcher matcher = ADDRESS.matcher(value);
+        try {
+            if (matcher.matches()) {
+                return new InetSocketAddress(
+                        InetAddress.getByName(matcher.group(1)), Integer.parseInt(matcher.group(2)));
+            }
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            throw error(key, EXPECTED_ADDRESS);
+        }
+        throw error(key, EXPECTED_ADDRESS);
+    }
+
     /** Returns a list of texts, empty if the key is absent. */
     public List<String> texts(String key) throws SettingsException {
         TomlArray array = value(key, TomlArray.class, "a list of texts");
--- a/platform/src/main/java/org/trefoilledge/platform/Watch.java
+++ b/configstore/src/main/java/org/trefoilledge/configstore/Watch.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 /** A running watch of the store. */
 public interface Watch extends AutoCloseable {
--- a/platform/src/test/java/org/trefoilledge/platform/TomlReaderTest.java
+++ b/configstore/src/test/java/org/trefoilledge/configstore/TomlReaderTest.java
@@ -1,4 +1,4 @@
-package org.trefoilledge.platform;
+package org.trefoilledge.configstore;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/core/src/main/java/org/trefoilledge/core/overload/RetryRatio.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/RetryRatio.java
@@ -1,7 +1,7 @@
 package org.trefoilledge.core.overload;
 
 /**
- * Bounds the retries to one service to a tenth of its requests, with a small reserve for bursts of failures.
+ * Bounds the retries to one service to a share of its requests, with a small reserve for bursts of failures.
  * Thread-safe.
  */
 public final class RetryRatio {
@@ -9,16 +9,35 @@
     private static final double RESERVE = 10;
     private static final long WINDOW_MILLIS = 10_000;
 
-    private double tokens = RESERVE;
+    private final double ratio;
+    private final double reserve;
+    private double tokens;
     private double earned;
     private double earnedBefore;
     private long windowStartMillis = Long.MIN_VALUE;
 
+    /** Creates the usual bound: a tenth of the requests and a reserve of ten. */
+    public RetryRatio() {
+        this(RETRIES_PER_REQUEST, RESERVE);
+    }
+
+    /**
+     * Creates a bound.
+     *
+     * @param ratio retries for each request
+     * @param reserve retries that need no request before them
+     */
+    public RetryRatio(double ratio, double reserve) {
+        this.ratio = ratio;
+        this.reserve = reserve;
+        this.tokens = reserve;
+    }
+
     /** Counts a first attempt. */
     public synchronized void requestSent(long now) {
         rotate(now);
-        earned += RETRIES_PER_REQUEST;
-        tokens = Math.min(tokens + RETRIES_PER_REQUEST, RESERVE + earned + earnedBefore);
+        earned += ratio;
+        tokens = Math.min(tokens + ratio, reserve + earned + earnedBefore);
     }
 
     /** Takes the right to one retry; returns false when the ratio is used up. */
@@ -43,6 +62,6 @@
         earnedBefore = windows == 1 ? earned : 0;
         earned = 0;
         windowStartMillis += windows * WINDOW_MILLIS;
-        tokens = Math.min(tokens, RESERVE + earnedBefore);
+        tokens = Math.min(tokens, reserve + earnedBefore);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/routing/OrganisationPolicy.java
@@ -0,0 +1,31 @@
+package org.trefoilledge.core.routing;
+
+import java.util.Objects;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.trefoilledge.core.OrganisationId;
+
+/**
+ * An organisation with its keys and its rate limit.
+ *
+ * @param priority rank that takes the place of the route's, if present
+ * @param ratePerSecond requests a second over the whole fleet, 0 for no limit
+ * @param burst requests on top of the rate, over the whole fleet
+ */
+public record OrganisationPolicy(
+        OrganisationId id, Set<String> keys, OptionalInt priority, double ratePerSecond, double burst) {
+    /** Checks that every part is present and in range. */
+    public OrganisationPolicy {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(priority, "priority");
+        keys = Set.copyOf(keys);
+        if (!(ratePerSecond >= 0) || !(burst >= 0)) {
+            throw new IllegalArgumentException("rate and burst of " + id + " must not be negative");
+        }
+    }
+
+    /** Returns whether the organisation has a rate limit. */
+    public boolean limited() {
+        return ratePerSecond > 0;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/routing/RoutingConfig.java
@@ -0,0 +1,112 @@
+package org.trefoilledge.core.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.trefoilledge.core.OrganisationId;
+
+/** One version of the operator's configuration, indexed for lookups. Immutable. */
+public final class RoutingConfig {
+    private final long version;
+    private final CallerLimits limits;
+    private final Map<String, List<HostRoute>> routesByHost;
+    private final Map<OrganisationId, OrganisationPolicy> organisations;
+    private final Map<String, OrganisationPolicy> organisationsByKey;
+    private final int routeCount;
+
+    /**
+     * Creates a configuration.
+     *
+     * @throws IllegalArgumentException if two organisations share a key
+     */
+    public RoutingConfig(
+            long version,
+            CallerLimits limits,
+            Collection<HostRoute> routes,
+            Collection<OrganisationPolicy> organisations) {
+        this.version = version;
+        this.limits = limits;
+        this.routesByHost = byHost(routes);
+        this.routeCount = routes.size();
+        Map<OrganisationId, OrganisationPolicy> byId = new HashMap<>();
+        Map<String, OrganisationPolicy> byKey = new HashMap<>();
+        for (OrganisationPolicy organisation : organisations) {
+            byId.put(organisation.id(), organisation);
+            for (String key : organisation.keys()) {
+                if (byKey.put(key, organisation) != null) {
+                    throw new IllegalArgumentException("two organisations share a key; one is " + organisation.id());
+                }
+            }
+        }
+        this.organisations = Map.copyOf(byId);
+        this.organisationsByKey = Map.copyOf(byKey);
+    }
+
+    /** Returns the version, which grows with each change. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns what callers may send. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the number of routes. */
+    public int routeCount() {
+        return routeCount;
+    }
+
+    /** Returns the organisations by their id. */
+    public Map<OrganisationId, OrganisationPolicy> organisations() {
+        return organisations;
+    }
+
+    /** Returns whether callers of routes that are not open need a key. */
+    public boolean keyed() {
+        return !organisations.isEmpty();
+    }
+
+    /** Returns the organisation that holds the key, if any does. */
+    public Optional<OrganisationPolicy> holder(String key) {
+        return Optional.ofNullable(organisationsByKey.get(key));
+    }
+
+    /**
+     * Returns the route with the longest prefix that begins the path, among the routes of the host.
+     *
+     * @param authority host with an optional port, in any case
+     */
+    public Optional<HostRoute> route(String authority, String path) {
+        for (HostRoute route : routesByHost.getOrDefault(hostName(authority), List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String hostName(String authority) {
+        int colon = authority.lastIndexOf(':');
+        boolean port = colon >= 0 && authority.indexOf(']', colon) < 0;
+        String host = port ? authority.substring(0, colon) : authority;
+        return host.toLowerCase(Locale.ROOT);
+    }
+
+    private static Map<String, List<HostRoute>> byHost(Collection<HostRoute> routes) {
+        Map<String, List<HostRoute>> grouped = new HashMap<>();
+        for (HostRoute route : routes) {
+            grouped.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<HostRoute> longestFirst =
+                Comparator.comparingInt(route -> -route.pathPrefix().length());
+        grouped.values().forEach(list -> list.sort(longestFirst));
+        return Map.copyOf(grouped);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/trefoilledge/core/share/RateShares.java
@@ -0,0 +1,161 @@
+package org.trefoilledge.core.share;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
+import org.trefoilledge.core.OrganisationId;
+
+/**
+ * The share of each organisation's rate that this node may use. Every node reports its demand to every other one. A
+ * node counts its own demand with the lowest figure that any other node may still hold for it, and the demand of the
+ * others with the latest figure that it has heard. So a falling demand takes effect at once, a rising one after all
+ * others have acknowledged it, and the shares of all nodes never add up to more than 1, whichever messages are late or
+ * lost. The figure of a node that cannot be reached stays reserved until it is removed from the members.
+ *
+ * <p>Not thread-safe.
+ */
+public final class RateShares {
+    /** Reports kept at most; the two oldest are merged into their minimum when a member does not acknowledge. */
+    private static final int MAX_REPORTS = 64;
+
+    private final Map<HostId, Peer> peers = new HashMap<>();
+    private final Deque<Report> reports = new ArrayDeque<>();
+    private Set<HostId> members = Set.of();
+    private boolean membersKnown;
+    private long lastSequence;
+
+    /** The demand of this node at one time, in requests a second. An organisation that is absent has none. */
+    public record Report(long sequence, Map<OrganisationId, Double> demand) {
+        /** Copies the demand. */
+        public Report {
+            demand = Map.copyOf(demand);
+        }
+    }
+
+    private static final class Peer {
+        private Incarnation incarnation;
+        private long heardSequence;
+        private Map<OrganisationId, Double> demand = Map.of();
+        private long acknowledged;
+        private Incarnation acknowledgedBy;
+    }
+
+    /**
+     * Replaces the set of other nodes whose acknowledgements count. A node that has left takes its reserved demand with
+     * it. Before the first call every share is 0.
+     */
+    public void members(Set<HostId> others) {
+        members = Set.copyOf(others);
+        membersKnown = true;
+        peers.keySet().removeIf(host -> !members.contains(host));
+        forgetAcknowledged();
+    }
+
+    /** Starts a report of the demand of this node; it has to be sent to every other node. */
+    public Report report(Map<OrganisationId, Double> demand) {
+        Report report = new Report(++lastSequence, demand);
+        reports.addLast(report);
+        forgetAcknowledged();
+        if (reports.size() > MAX_REPORTS) {
+            mergeOldest();
+        }
+        return report;
+    }
+
+    /** Takes the acknowledgement of a report by a run of another node. */
+    public void acknowledged(HostId from, Incarnation incarnation, long sequence) {
+        Peer peer = peer(from);
+        if (!incarnation.equals(peer.acknowledgedBy)) {
+            peer.acknowledgedBy = incarnation;
+            peer.acknowledged = 0;
+        }
+        peer.acknowledged = Math.max(peer.acknowledged, sequence);
+        forgetAcknowledged();
+    }
+
+    /** Takes a report of another node. Reports of an earlier run, or older than the last one, have no effect. */
+    public void heard(HostId from, Incarnation incarnation, Report report) {
+        Peer peer = peer(from);
+        int order = peer.incarnation == null ? 1 : incarnation.compareTo(peer.incarnation);
+        if (order < 0 || (order == 0 && report.sequence() <= peer.heardSequence)) {
+            return;
+        }
+        peer.incarnation = incarnation;
+        peer.heardSequence = report.sequence();
+        peer.demand = report.demand();
+    }
+
+    /** Returns the part of the organisation's rate that this node may use, from 0 to 1. */
+    public double share(OrganisationId organisation) {
+        double own = ownDemand(organisation);
+        if (own <= 0) {
+            return 0;
+        }
+        double total = own;
+        for (Peer peer : peers.values()) {
+            total += peer.demand.getOrDefault(organisation, 0.0);
+        }
+        return own / total;
+    }
+
+    private double ownDemand(OrganisationId organisation) {
+        if (!membersKnown || reports.isEmpty() || strangerAmongMembers()) {
+            return 0;
+        }
+        double lowest = Double.MAX_VALUE;
+        for (Report report : reports) {
+            lowest = Math.min(lowest, report.demand().getOrDefault(organisation, 0.0));
+        }
+        return lowest;
+    }
+
+    /** Returns whether a member has not told its demand, or may not know this node's, since this node started. */
+    private boolean strangerAmongMembers() {
+        for (HostId member : members) {
+            Peer peer = peers.get(member);
+            if (peer == null || peer.acknowledged == 0 || peer.incarnation == null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private Peer peer(HostId host) {
+        return peers.computeIfAbsent(host, h -> new Peer());
+    }
+
+    /** Drops the reports that every member has replaced by a later one. */
+    private void forgetAcknowledged() {
+        long lowest = Long.MAX_VALUE;
+        for (HostId member : members) {
+            Peer peer = peers.get(member);
+            lowest = Math.min(lowest, peer == null ? 0 : peer.acknowledged);
+        }
+        while (reports.size() > 1 && reports.peekFirst().sequence() < lowest) {
+            reports.removeFirst();
+        }
+    }
+
+    private void mergeOldest() {
+        Iterator<Report> oldest = reports.iterator();
+        Report first = oldest.next();
+        Report second = oldest.next();
+        Set<OrganisationId> both = new HashSet<>(first.demand().keySet());
+        both.retainAll(second.demand().keySet());
+        Map<OrganisationId, Double> lower = new HashMap<>();
+        for (OrganisationId organisation : both) {
+            lower.put(
+                    organisation,
+                    Math.min(first.demand().get(organisation), second.demand().get(organisation)));
+        }
+        reports.removeFirst();
+        reports.removeFirst();
+        reports.addFirst(new Report(second.sequence(), lower));
+    }
+}
--- a/load/src/main/java/org/trefoilledge/load/DemoExperiment.java
+++ b/load/src/main/java/org/trefoilledge/load/DemoExperiment.java
@@ -1,7 +1,7 @@
 package org.trefoilledge.load;
 
 import java.nio.file.Path;
-import org.trefoilledge.platform.SettingsException;
+import org.trefoilledge.configstore.SettingsException;
 
 /** The experiment that the demo runs: the full number of hosts, ordinary load, no disturbance. */
 final class DemoExperiment {
--- a/load/src/main/java/org/trefoilledge/load/Deployment.java
+++ b/load/src/main/java/org/trefoilledge/load/Deployment.java
@@ -9,9 +9,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.trefoilledge.configstore.InventoryFile;
+import org.trefoilledge.configstore.SettingsException;
 import org.trefoilledge.core.config.Inventory;
-import org.trefoilledge.platform.InventoryFile;
-import org.trefoilledge.platform.SettingsException;
 
 /** A whole deployment as processes on loopback: store stand-in, one node and one upstream stand-in per host. */
 final class Deployment implements AutoCloseable {
--- a/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
+++ b/load/src/main/java/org/trefoilledge/load/ExperimentReader.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.TomlReader;
 import org.trefoilledge.core.Importance;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.TomlReader;
 
 /** Reads experiment files. Paths in a file are relative to the file. */
 final class ExperimentReader {
--- a/load/src/main/java/org/trefoilledge/load/Host.java
+++ b/load/src/main/java/org/trefoilledge/load/Host.java
@@ -5,8 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.TomlReader;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.TomlReader;
 
 /** A host of a hosts file: the place of one upstream and its node. */
 record Host(String id, String zone, String service, int slots, int connections) {
--- a/load/src/main/java/org/trefoilledge/load/RunCommand.java
+++ b/load/src/main/java/org/trefoilledge/load/RunCommand.java
@@ -7,7 +7,7 @@
 import java.time.format.DateTimeFormatter;
 import java.util.List;
 import java.util.concurrent.Callable;
-import org.trefoilledge.platform.SettingsException;
+import org.trefoilledge.configstore.SettingsException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
--- a/load/src/test/java/org/trefoilledge/load/DeploymentPartsTest.java
+++ b/load/src/test/java/org/trefoilledge/load/DeploymentPartsTest.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.trefoilledge.configstore.InventoryFile;
+import org.trefoilledge.configstore.TomlReader;
 import org.trefoilledge.core.config.Inventory;
-import org.trefoilledge.platform.InventoryFile;
-import org.trefoilledge.platform.TomlReader;
 
 class DeploymentPartsTest {
     private static final Host HOST = new Host("order-1", "cairo-a", "order-intake", 90, 650);
--- a/node/src/main/java/org/trefoilledge/node/AuthorityDriver.java
+++ b/node/src/main/java/org/trefoilledge/node/AuthorityDriver.java
@@ -12,6 +12,8 @@
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.trefoilledge.configstore.StoreUnavailableException;
+import org.trefoilledge.configstore.StoredValue;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.ZoneId;
@@ -21,8 +23,6 @@
 import org.trefoilledge.core.authority.ZoneRecord;
 import org.trefoilledge.core.idempotency.ArbiterTable;
 import org.trefoilledge.core.idempotency.ShardTable;
-import org.trefoilledge.platform.StoreUnavailableException;
-import org.trefoilledge.platform.StoredValue;
 import org.trefoilledge.wire.PeerTransport;
 import org.trefoilledge.wire.generated.Envelope;
 
--- a/node/src/main/java/org/trefoilledge/node/NodeMain.java
+++ b/node/src/main/java/org/trefoilledge/node/NodeMain.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.trefoilledge.platform.SettingsException;
+import org.trefoilledge.configstore.SettingsException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
--- a/node/src/main/java/org/trefoilledge/node/NodeSettings.java
+++ b/node/src/main/java/org/trefoilledge/node/NodeSettings.java
@@ -3,10 +3,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.TomlReader;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.ZoneId;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.TomlReader;
 
 /**
  * The checked settings of a node process.
@@ -73,10 +73,10 @@
                 name(toml, "host", HostId::new),
                 name(toml, "zone", ZoneId::new),
                 toml.text("deployment"),
-                address(listen, "callers"),
-                address(listen, "local"),
-                address(listen, "peers"),
-                address(listen, "operators"),
+                listen.address("callers"),
+                listen.address("local"),
+                listen.address("peers"),
+                listen.address("operators"),
                 endpoints(toml.section("store")),
                 toml.section("peers").texts("seeds"),
                 oneOf(log, "format", "text", List.of("text", "json")),
@@ -125,15 +125,6 @@
         return value;
     }
 
-    private static InetSocketAddress address(TomlReader toml, String key) throws SettingsException {
-        String value = toml.text(key);
-        try {
-            return PeerAddress.parse(value);
-        } catch (IllegalArgumentException e) {
-            throw toml.error(key, "an IP address and port such as 127.0.0.1:8080");
-        }
-    }
-
     private static <T> T name(TomlReader toml, String key, java.util.function.Function<String, T> parse)
             throws SettingsException {
         String value = toml.text(key);
--- a/node/src/main/java/org/trefoilledge/node/StoreWorker.java
+++ b/node/src/main/java/org/trefoilledge/node/StoreWorker.java
@@ -5,10 +5,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
+import org.trefoilledge.configstore.StoreUnavailableException;
 import org.trefoilledge.core.config.ConfigException;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
-import org.trefoilledge.platform.StoreUnavailableException;
 
 /** Runs blocking calls of the store on threads of their own and hands the results to the control thread. */
 final class StoreWorker implements AutoCloseable {
--- a/node/src/test/java/org/trefoilledge/node/NodeSettingsTest.java
+++ b/node/src/test/java/org/trefoilledge/node/NodeSettingsTest.java
@@ -4,7 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import org.junit.jupiter.api.Test;
-import org.trefoilledge.platform.TomlReader;
+import org.trefoilledge.configstore.TomlReader;
 
 class NodeSettingsTest {
     private static final String VALID =
--- a/operator/src/main/java/org/trefoilledge/operator/ApplyCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ApplyCommand.java
@@ -1,9 +1,9 @@
 package org.trefoilledge.operator;
 
 import java.nio.file.Path;
-import org.trefoilledge.platform.InventoryFile;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.StoreException;
+import org.trefoilledge.configstore.InventoryFile;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.StoreException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
--- a/operator/src/main/java/org/trefoilledge/operator/ApplyProposal.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ApplyProposal.java
@@ -3,11 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.trefoilledge.configstore.InventoryFile;
 import org.trefoilledge.core.config.Change;
 import org.trefoilledge.core.config.Inventory;
 import org.trefoilledge.core.config.InventoryDiff;
 import org.trefoilledge.core.config.LogEntry;
-import org.trefoilledge.platform.InventoryFile;
 
 /**
  * Proposes what a file changes against the revision that it was compared with first. When others have written since,
--- a/operator/src/main/java/org/trefoilledge/operator/CertainWrite.java
+++ b/operator/src/main/java/org/trefoilledge/operator/CertainWrite.java
@@ -1,10 +1,10 @@
 package org.trefoilledge.operator;
 
 import java.util.Optional;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
-import org.trefoilledge.platform.StoreUnavailableException;
-import org.trefoilledge.platform.StoredValue;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
+import org.trefoilledge.configstore.StoreUnavailableException;
+import org.trefoilledge.configstore.StoredValue;
 
 /**
  * A compare-and-swap that finds out its outcome. When an answer is lost the key is read; if it still has the expected
--- a/operator/src/main/java/org/trefoilledge/operator/ConfigHistory.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ConfigHistory.java
@@ -2,10 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.trefoilledge.configstore.ConfigSnapshot;
 import org.trefoilledge.core.config.Change;
 import org.trefoilledge.core.config.Inventory;
 import org.trefoilledge.core.config.LogEntry;
-import org.trefoilledge.platform.ConfigSnapshot;
 
 /**
  * A part of the configuration log, up to its latest entry.
--- a/operator/src/main/java/org/trefoilledge/operator/ConfigWriter.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ConfigWriter.java
@@ -2,16 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.trefoilledge.configstore.AppendResult;
+import org.trefoilledge.configstore.ConfigSnapshot;
+import org.trefoilledge.configstore.ConfigStore;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.config.ConfigCodec;
 import org.trefoilledge.core.config.ConfigException;
 import org.trefoilledge.core.config.ConfigLog;
 import org.trefoilledge.core.config.Inventory;
 import org.trefoilledge.core.config.LogEntry;
-import org.trefoilledge.platform.AppendResult;
-import org.trefoilledge.platform.ConfigSnapshot;
-import org.trefoilledge.platform.ConfigStore;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
 
 /** Reads the configuration log from the store and appends entries to it, within the time that the operator gives. */
 final class ConfigWriter {
--- a/operator/src/main/java/org/trefoilledge/operator/DiffCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/DiffCommand.java
@@ -4,12 +4,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.trefoilledge.configstore.InventoryFile;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.config.Inventory;
 import org.trefoilledge.core.config.InventoryDiff;
-import org.trefoilledge.platform.InventoryFile;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
--- a/operator/src/main/java/org/trefoilledge/operator/DrainCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/DrainCommand.java
@@ -1,10 +1,10 @@
 package org.trefoilledge.operator;
 
 import java.util.List;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.config.Change;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.StoreException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
--- a/operator/src/main/java/org/trefoilledge/operator/Ids.java
+++ b/operator/src/main/java/org/trefoilledge/operator/Ids.java
@@ -1,10 +1,10 @@
 package org.trefoilledge.operator;
 
 import java.util.function.Function;
+import org.trefoilledge.configstore.SettingsException;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.ZoneId;
-import org.trefoilledge.platform.SettingsException;
 
 /** Parses ids of the command line. */
 final class Ids {
--- a/operator/src/main/java/org/trefoilledge/operator/KeyFile.java
+++ b/operator/src/main/java/org/trefoilledge/operator/KeyFile.java
@@ -5,8 +5,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.regex.Pattern;
+import org.trefoilledge.configstore.SettingsException;
 import org.trefoilledge.core.config.KeyDigest;
-import org.trefoilledge.platform.SettingsException;
 
 /** Reads the digest of a key from a file with the key on its only line. Error messages never show the content. */
 final class KeyFile {
--- a/operator/src/main/java/org/trefoilledge/operator/OperatorCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/OperatorCommand.java
@@ -4,9 +4,9 @@
 import java.io.PrintWriter;
 import java.util.List;
 import java.util.concurrent.Callable;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.config.ConfigCodec;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.StoreException;
 import picocli.CommandLine.Option;
 
 /** A command that ends with one answer. Text of failures goes to standard error, JSON always to standard output. */
--- a/operator/src/main/java/org/trefoilledge/operator/ShowCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ShowCommand.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.config.ConfigCodec;
 import org.trefoilledge.core.config.LogEntry;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/operator/src/main/java/org/trefoilledge/operator/StatusCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/StatusCommand.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
-import org.trefoilledge.platform.SettingsException;
+import org.trefoilledge.configstore.SettingsException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/operator/src/main/java/org/trefoilledge/operator/StoreCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/StoreCommand.java
@@ -1,9 +1,9 @@
 package org.trefoilledge.operator;
 
 import java.util.List;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
 import picocli.CommandLine.Option;
 
 /** A command that needs the store. */
--- a/operator/src/main/java/org/trefoilledge/operator/StoreOpener.java
+++ b/operator/src/main/java/org/trefoilledge/operator/StoreOpener.java
@@ -1,8 +1,8 @@
 package org.trefoilledge.operator;
 
 import java.util.List;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
 
 /**
  * Opens the store at the given endpoints; each call of the store may take {@code timeoutMillis}. An endpoint that
--- a/operator/src/main/java/org/trefoilledge/operator/Submission.java
+++ b/operator/src/main/java/org/trefoilledge/operator/Submission.java
@@ -1,13 +1,13 @@
 package org.trefoilledge.operator;
 
 import java.util.List;
+import org.trefoilledge.configstore.AppendResult;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.config.Change;
 import org.trefoilledge.core.config.ConfigCodec;
 import org.trefoilledge.core.config.Inventory;
 import org.trefoilledge.core.config.InventoryDiff;
 import org.trefoilledge.core.config.LogEntry;
-import org.trefoilledge.platform.AppendResult;
-import org.trefoilledge.platform.StoreException;
 
 /** Writes the changes of a proposal as the next revision, and asks it again when another writer was first. */
 final class Submission {
--- a/operator/src/main/java/org/trefoilledge/operator/ValidateCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/ValidateCommand.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
 import java.util.List;
+import org.trefoilledge.configstore.InventoryFile;
+import org.trefoilledge.configstore.SettingsException;
 import org.trefoilledge.core.config.Inventory;
-import org.trefoilledge.platform.InventoryFile;
-import org.trefoilledge.platform.SettingsException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
--- a/operator/src/main/java/org/trefoilledge/operator/WithdrawCommand.java
+++ b/operator/src/main/java/org/trefoilledge/operator/WithdrawCommand.java
@@ -2,10 +2,10 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.config.Change;
 import org.trefoilledge.core.config.KeyDigest;
-import org.trefoilledge.platform.SettingsException;
-import org.trefoilledge.platform.StoreException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
--- a/operator/src/test/java/org/trefoilledge/operator/MemoryStore.java
+++ b/operator/src/test/java/org/trefoilledge/operator/MemoryStore.java
@@ -6,12 +6,12 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import org.trefoilledge.platform.Store;
-import org.trefoilledge.platform.StoreException;
-import org.trefoilledge.platform.StoreOutcomeUnknownException;
-import org.trefoilledge.platform.StoreUnavailableException;
-import org.trefoilledge.platform.StoredValue;
-import org.trefoilledge.platform.Watch;
+import org.trefoilledge.configstore.Store;
+import org.trefoilledge.configstore.StoreException;
+import org.trefoilledge.configstore.StoreOutcomeUnknownException;
+import org.trefoilledge.configstore.StoreUnavailableException;
+import org.trefoilledge.configstore.StoredValue;
+import org.trefoilledge.configstore.Watch;
 
 /** A store in memory whose next calls can be made to fail. */
 final class MemoryStore implements Store {
--- a/scenarios/src/test/java/org/trefoilledge/scenarios/StoreLog.java
+++ b/scenarios/src/test/java/org/trefoilledge/scenarios/StoreLog.java
@@ -3,13 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.trefoilledge.configstore.EtcdSettings;
+import org.trefoilledge.configstore.EtcdStore;
+import org.trefoilledge.configstore.StoreException;
+import org.trefoilledge.configstore.StoredValue;
 import org.trefoilledge.core.config.ConfigCodec;
 import org.trefoilledge.core.config.ConfigException;
 import org.trefoilledge.core.config.LogEntry;
-import org.trefoilledge.platform.EtcdSettings;
-import org.trefoilledge.platform.EtcdStore;
-import org.trefoilledge.platform.StoreException;
-import org.trefoilledge.platform.StoredValue;
 import org.trefoilledge.standin.StoreStandin;
 
 /** Reads the configuration log as the store has it. */
--- /dev/null
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Endpoint.java
@@ -0,0 +1,105 @@
+package org.trefoilledge.sidecar;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A small HTTP server for readiness, announcements and metrics. */
+@SuppressWarnings("FutureReturnValueIgnored") // channel events and timers report how such an operation ended
+final class Endpoint implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Endpoint.class);
+    private static final int MAX_BODY_BYTES = 64 * 1024;
+
+    private final Channel listener;
+
+    /** Answers one request at once. */
+    @FunctionalInterface
+    interface Handler {
+        Reply handle(String method, String path, byte[] body);
+    }
+
+    /** Status and body of an answer. */
+    record Reply(int status, String contentType, String body) {
+        static Reply empty(int status) {
+            return new Reply(status, "application/json", "{}");
+        }
+    }
+
+    Endpoint(InetSocketAddress address, EventLoopGroup group, Handler handler) throws IOException {
+        var bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpServerKeepAliveHandler())
+                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(new Answering(handler));
+                    }
+                })
+                .bind(address)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address, bound.cause());
+        }
+        listener = bound.channel();
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+    }
+
+    private static final class Answering extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Handler handler;
+
+        Answering(Handler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            Reply reply = request.decoderResult().isFailure()
+                    ? Reply.empty(HttpResponseStatus.BAD_REQUEST.code())
+                    : handler.handle(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content()));
+            byte[] body = reply.body().getBytes(StandardCharsets.UTF_8);
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(body));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+            context.writeAndFlush(response);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.debug("endpoint: connection failed", cause);
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ForwardedHeaders.java
@@ -0,0 +1,35 @@
+package org.trefoilledge.sidecar;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
+import java.util.Set;
+
+/** Tells the headers that are passed on from those that concern only one connection. */
+final class ForwardedHeaders {
+    private static final Set<String> ONE_CONNECTION = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length");
+
+    private ForwardedHeaders() {}
+
+    /** Returns whether a header of a message with the given headers is passed on. */
+    static boolean forwarded(String name, HttpHeaders all) {
+        String lower = name.toLowerCase(Locale.ROOT);
+        if (ONE_CONNECTION.contains(lower)) {
+            return false;
+        }
+        return !all.contains(HttpHeaderNames.CONNECTION)
+                || !all.containsValue(HttpHeaderNames.CONNECTION, lower, true)
+                || lower.equals("host");
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/PeerLinks.java
@@ -0,0 +1,143 @@
+package org.trefoilledge.sidecar;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import org.trefoilledge.wire.PeerException;
+import org.trefoilledge.wire.PeerHandler;
+import org.trefoilledge.wire.PeerIdentity;
+import org.trefoilledge.wire.PeerTransport;
+import org.trefoilledge.wire.TransportSettings;
+import org.trefoilledge.wire.generated.Call;
+import org.trefoilledge.wire.generated.CallAnswer;
+import org.trefoilledge.wire.generated.Cancel;
+import org.trefoilledge.wire.generated.ConfigDocument;
+import org.trefoilledge.wire.generated.ConfigQuery;
+import org.trefoilledge.wire.generated.Envelope;
+import org.trefoilledge.wire.generated.StatusAnswer;
+import org.trefoilledge.wire.generated.StatusReport;
+
+/** Calls and reports between the sidecars. Handlers run on the traffic thread. */
+final class PeerLinks implements AutoCloseable {
+    private static final int CONNECT_MILLIS = 600;
+    private static final int IDLE_MILLIS = 60_000;
+    /** A link on which requests time out and nothing arrives for this time is replaced. */
+    private static final int STALL_MILLIS = 700;
+
+    private final PeerTransport transport;
+    private final Map<Stream, Runnable> cancellations = new HashMap<>();
+
+    private record Stream(PeerIdentity peer, long id) {}
+
+    /** Serves what other sidecars ask. */
+    interface Handler {
+        /** Serves a call; returns what cancels it. */
+        Runnable call(Call call, Consumer<CallAnswer> answered);
+
+        /** Takes a report; the answer may be given on any thread. */
+        void report(PeerIdentity from, StatusReport report, Consumer<StatusAnswer> answered);
+
+        /** Returns the newest configuration known here. */
+        ConfigDocument config();
+    }
+
+    PeerLinks(PeerIdentity self, String listen, Handler handler, EventLoopGroup traffic) throws IOException {
+        TransportSettings settings = TransportSettings.of(listen).withTimes(CONNECT_MILLIS, IDLE_MILLIS, STALL_MILLIS);
+        transport = new PeerTransport(self, new Incoming(handler), settings, traffic);
+    }
+
+    /** What came back for a call: an answer, or nothing, after the call was sent or before. */
+    record Reply(CallAnswer answer, boolean sent) {}
+
+    /**
+     * Sends a call to a peer.
+     *
+     * @return cancels the call at the peer
+     */
+    Runnable call(String address, Call call, Consumer<Reply> replied) {
+        Envelope request = Envelope.newBuilder().setCall(call).build();
+        CompletableFuture<Envelope> answer = transport.ask(address, request, call.getDeadlineMillis());
+        var unused = answer.whenComplete((envelope, error) -> replied.accept(reply(envelope, error)));
+        return () -> transport.cancel(answer);
+    }
+
+    CompletableFuture<StatusAnswer> report(String address, StatusReport report, long timeoutMillis) {
+        Envelope request = Envelope.newBuilder().setStatusReport(report).build();
+        return transport.ask(address, request, timeoutMillis).thenApply(Envelope::getStatusAnswer);
+    }
+
+    CompletableFuture<ConfigDocument> config(String address, long timeoutMillis) {
+        Envelope request = Envelope.newBuilder()
+                .setConfigQuery(ConfigQuery.getDefaultInstance())
+                .build();
+        return transport.ask(address, request, timeoutMillis).thenApply(Envelope::getConfigDocument);
+    }
+
+    private static Reply reply(Envelope envelope, Throwable error) {
+        if (error == null && envelope.hasCallAnswer()) {
+            return new Reply(envelope.getCallAnswer(), true);
+        }
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        boolean sent = !(cause instanceof PeerException failure) || failure.sent();
+        return new Reply(null, sent);
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+    }
+
+    private final class Incoming implements PeerHandler {
+        private final Handler handler;
+
+        Incoming(Handler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public void handle(PeerIdentity from, Envelope request, Consumer<Envelope> responder) {
+            switch (request.getMessageCase()) {
+                case CALL -> call(new Stream(from, request.getStream()), request.getCall(), responder);
+                case STATUS_REPORT ->
+                    handler.report(
+                            from,
+                            request.getStatusReport(),
+                            answer -> responder.accept(Envelope.newBuilder()
+                                    .setStatusAnswer(answer)
+                                    .build()));
+                case CONFIG_QUERY ->
+                    responder.accept(Envelope.newBuilder()
+                            .setConfigDocument(handler.config())
+                            .build());
+                default ->
+                    responder.accept(Envelope.newBuilder()
+                            .setCancel(Cancel.getDefaultInstance())
+                            .build());
+            }
+        }
+
+        private void call(Stream stream, Call call, Consumer<Envelope> responder) {
+            boolean[] answered = new boolean[1];
+            Runnable cancel = handler.call(call, answer -> {
+                answered[0] = true;
+                cancellations.remove(stream);
+                responder.accept(Envelope.newBuilder().setCallAnswer(answer).build());
+            });
+            if (!answered[0]) {
+                cancellations.put(stream, cancel);
+            }
+        }
+
+        @Override
+        public void cancelled(PeerIdentity from, long id) {
+            Runnable cancel = cancellations.remove(new Stream(from, id));
+            if (cancel != null) {
+                cancel.run();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarSettings.java
@@ -0,0 +1,121 @@
+package org.trefoilledge.sidecar;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import org.trefoilledge.configstore.SettingsException;
+import org.trefoilledge.configstore.TomlReader;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.ServiceId;
+import org.trefoilledge.core.ZoneId;
+
+/**
+ * The checked settings of a sidecar.
+ *
+ * @param service service of the upstream on this host
+ * @param upstream address of that upstream
+ * @param callers address for the requests that start on this host
+ * @param ready address that answers whether this node takes requests
+ * @param announcements address at which the upstream announces itself
+ * @param peers address for other nodes
+ * @param operators address for metrics
+ * @param store address of the platform's store
+ * @param logFormat {@code text} or {@code json}
+ */
+public record SidecarSettings(
+        HostId host,
+        ZoneId zone,
+        ServiceId service,
+        InetSocketAddress upstream,
+        InetSocketAddress callers,
+        InetSocketAddress ready,
+        InetSocketAddress announcements,
+        InetSocketAddress peers,
+        InetSocketAddress operators,
+        InetSocketAddress store,
+        String logFormat,
+        Bounds bounds) {
+
+    /**
+     * Times and ratios that the operators promise to their users.
+     *
+     * @param stopMillis time between the order to stop and the end of the process
+     * @param revocationMillis a withdrawn key stops working within this time, also on a node that is cut off
+     * @param heartbeatMillis interval of an upstream's announcements
+     * @param retryRatio repeated dispatches to a service, as a share of its requests
+     * @param retrySlack repeated dispatches to a service in a window beyond the ratio, over all nodes
+     * @param limitSlack requests in a window by which an organisation may exceed its limit, over all nodes
+     */
+    public record Bounds(
+            long stopMillis,
+            long revocationMillis,
+            long heartbeatMillis,
+            double retryRatio,
+            double retrySlack,
+            double limitSlack) {}
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws SettingsException naming file, line, column and what was expected
+     */
+    public static SidecarSettings read(Path file) throws SettingsException {
+        return from(TomlReader.read(file));
+    }
+
+    /**
+     * Reads settings that have been parsed.
+     *
+     * @throws SettingsException naming file, line, column and what was expected
+     */
+    public static SidecarSettings from(TomlReader toml) throws SettingsException {
+        TomlReader listen = toml.section("listen");
+        TomlReader upstream = toml.section("upstream");
+        SidecarSettings settings = new SidecarSettings(
+                name(toml, "host", HostId::new),
+                name(toml, "zone", ZoneId::new),
+                name(upstream, "service", ServiceId::new),
+                upstream.address("address"),
+                listen.address("callers"),
+                listen.address("ready"),
+                listen.address("announcements"),
+                listen.address("peers"),
+                listen.address("operators"),
+                toml.section("store").address("address"),
+                logFormat(toml.section("log")),
+                bounds(toml.section("bounds")));
+        toml.finish();
+        return settings;
+    }
+
+    private static Bounds bounds(TomlReader toml) throws SettingsException {
+        return new Bounds(
+                millis(toml, "stop-s"),
+                millis(toml, "revocation-s"),
+                millis(toml, "heartbeat-s"),
+                toml.number("retry-ratio", 0, 10),
+                toml.number("retry-slack", 0, 1e6),
+                toml.number("limit-slack", 0, 1e6));
+    }
+
+    private static long millis(TomlReader toml, String key) throws SettingsException {
+        return Math.round(toml.number(key, 0.1, 3_600) * 1_000);
+    }
+
+    private static String logFormat(TomlReader toml) throws SettingsException {
+        String format = toml.text("format", "json");
+        if (!format.equals("json") && !format.equals("text")) {
+            throw toml.error("format", "text or json");
+        }
+        return format;
+    }
+
+    private static <T> T name(TomlReader toml, String key, java.util.function.Function<String, T> parse)
+            throws SettingsException {
+        String value = toml.text(key);
+        try {
+            return parse.apply(value);
+        } catch (IllegalArgumentException e) {
+            throw toml.error(key, "1 to 64 lower-case letters, digits, dots and hyphens");
+        }
+    }
+}
--- a/standin/src/test/java/org/trefoilledge/standin/ConfigRaceTest.java
+++ b/standin/src/test/java/org/trefoilledge/standin/ConfigRaceTest.java
@@ -11,13 +11,13 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.Test;
+import org.trefoilledge.configstore.AppendResult;
+import org.trefoilledge.configstore.ConfigStore;
+import org.trefoilledge.configstore.EtcdSettings;
+import org.trefoilledge.configstore.EtcdStore;
+import org.trefoilledge.configstore.StoreException;
 import org.trefoilledge.core.config.ConfigCodec;
 import org.trefoilledge.core.config.ConfigLog;
-import org.trefoilledge.platform.AppendResult;
-import org.trefoilledge.platform.ConfigStore;
-import org.trefoilledge.platform.EtcdSettings;
-import org.trefoilledge.platform.EtcdStore;
-import org.trefoilledge.platform.StoreException;
 
 class ConfigRaceTest {
     private static final int WRITERS = 8;
--- a/standin/src/test/java/org/trefoilledge/standin/ConfigStoreTest.java
+++ b/standin/src/test/java/org/trefoilledge/standin/ConfigStoreTest.java
@@ -11,6 +11,16 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.trefoilledge.configstore.AppendResult;
+import org.trefoilledge.configstore.ConfigSnapshot;
+import org.trefoilledge.configstore.ConfigStore;
+import org.trefoilledge.configstore.EtcdSettings;
+import org.trefoilledge.configstore.EtcdStore;
+import org.trefoilledge.configstore.HealResult;
+import org.trefoilledge.configstore.OperationOutcome;
+import org.trefoilledge.configstore.StoreUnavailableException;
+import org.trefoilledge.configstore.StoredValue;
+import org.trefoilledge.configstore.Watch;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.config.Change;
@@ -20,16 +30,6 @@
 import org.trefoilledge.core.config.KeyDigest;
 import org.trefoilledge.core.config.LogEntry;
 import org.trefoilledge.core.config.Organisation;
-import org.trefoilledge.platform.AppendResult;
-import org.trefoilledge.platform.ConfigSnapshot;
-import org.trefoilledge.platform.ConfigStore;
-import org.trefoilledge.platform.EtcdSettings;
-import org.trefoilledge.platform.EtcdStore;
-import org.trefoilledge.platform.HealResult;
-import org.trefoilledge.platform.OperationOutcome;
-import org.trefoilledge.platform.StoreUnavailableException;
-import org.trefoilledge.platform.StoredValue;
-import org.trefoilledge.platform.Watch;
 
 class ConfigStoreTest {
     private static final StoreLimits FAST = new StoreLimits(100_000, 100_000, 0);
@@ -225,7 +225,7 @@
         try {
             config.writeSnapshot(snapshot);
             return true;
-        } catch (org.trefoilledge.platform.StoreException e) {
+        } catch (org.trefoilledge.configstore.StoreException e) {
             return false;
         }
     }
--- a/standin/src/test/java/org/trefoilledge/standin/EtcdStoreTest.java
+++ b/standin/src/test/java/org/trefoilledge/standin/EtcdStoreTest.java
@@ -11,13 +11,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.trefoilledge.platform.EtcdSettings;
-import org.trefoilledge.platform.EtcdStore;
-import org.trefoilledge.platform.StoreException;
-import org.trefoilledge.platform.StoreOutcomeUnknownException;
-import org.trefoilledge.platform.StoreUnavailableException;
-import org.trefoilledge.platform.StoredValue;
-import org.trefoilledge.platform.Watch;
+import org.trefoilledge.configstore.EtcdSettings;
+import org.trefoilledge.configstore.EtcdStore;
+import org.trefoilledge.configstore.StoreException;
+import org.trefoilledge.configstore.StoreOutcomeUnknownException;
+import org.trefoilledge.configstore.StoreUnavailableException;
+import org.trefoilledge.configstore.StoredValue;
+import org.trefoilledge.configstore.Watch;
 
 class EtcdStoreTest {
     private StoreStandin standin;
--- a/wire/src/main/java/org/trefoilledge/wire/PeerAddress.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerAddress.java
@@ -6,12 +6,17 @@
 import java.net.UnknownHostException;
 
 /** Reads addresses such as {@code 127.0.0.1:8082} and {@code [::1]:8082}. Names are not resolved. */
-final class PeerAddress {
+public final class PeerAddress {
     private static final int MAX_PORT = 65_535;
 
     private PeerAddress() {}
 
-    static InetSocketAddress parse(String address) {
+    /**
+     * Returns the address that the text names.
+     *
+     * @throws IllegalArgumentException if it is not an IP address and a port
+     */
+    public static InetSocketAddress parse(String address) {
         int colon = address.lastIndexOf(':');
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
         if (ip == null) {
--- a/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
@@ -52,17 +52,36 @@
     private final Map<String, OutgoingConnection> outgoing = new ConcurrentHashMap<>();
     private final Set<PeerConnection> connections = ConcurrentHashMap.newKeySet();
     private final EventLoopGroup group;
+    private final boolean ownsGroup;
     private final Channel listener;
     private volatile Predicate<PeerIdentity> blocked = peer -> false;
     private volatile boolean closed;
 
     /** Binds and listens on the address in the settings; fails if that is not possible. */
     public PeerTransport(PeerIdentity self, PeerHandler handler, TransportSettings settings) throws IOException {
+        this(
+                self,
+                handler,
+                settings,
+                new MultiThreadIoEventLoopGroup(
+                        settings.threads(), new DefaultThreadFactory("peer", true), NioIoHandler.newFactory()),
+                true);
+    }
+
+    /** Runs on network threads that the caller owns and closes after this transport. */
+    public PeerTransport(PeerIdentity self, PeerHandler handler, TransportSettings settings, EventLoopGroup group)
+            throws IOException {
+        this(self, handler, settings, group, false);
+    }
+
+    private PeerTransport(
+            PeerIdentity self, PeerHandler handler, TransportSettings settings, EventLoopGroup group, boolean ownsGroup)
+            throws IOException {
         this.self = Objects.requireNonNull(self, "self");
         this.handler = Objects.requireNonNull(handler, "handler");
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.group = new MultiThreadIoEventLoopGroup(
-                settings.threads(), new DefaultThreadFactory("peer", true), NioIoHandler.newFactory());
+        this.group = group;
+        this.ownsGroup = ownsGroup;
         this.listener = listen();
     }
 
@@ -137,7 +156,10 @@
         listener.close().awaitUninterruptibly();
         connections.forEach(connection -> connection.close("the transport is closed"));
         outgoing.values().forEach(connection -> connection.close("the transport is closed"));
-        group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(2L * SHUTDOWN_MILLIS);
+        if (ownsGroup) {
+            group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
+                    .awaitUninterruptibly(2L * SHUTDOWN_MILLIS);
+        }
     }
 
     void submit(PendingRequest request) {
@@ -265,7 +287,9 @@
                 .bind(PeerAddress.parse(settings.listen()))
                 .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+            if (ownsGroup) {
+                group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+            }
             throw new IOException("cannot listen on " + settings.listen(), bound.cause());
         }
         return bound.channel();
