--- a/core/src/main/java/org/trefoilledge/core/overload/RetryRatio.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/RetryRatio.java
@@ -42,11 +42,16 @@
 
     /** Takes the right to one retry; returns false when the ratio is used up. */
     public synchronized boolean tryRetry(long now) {
+        return tryRetry(1, now);
+    }
+
+    /** Takes the right to a retry that counts like several; returns false when the ratio is used up. */
+    public synchronized boolean tryRetry(double cost, long now) {
         rotate(now);
-        if (tokens < 1) {
+        if (tokens < cost) {
             return false;
         }
-        tokens -= 1;
+        tokens -= cost;
         return true;
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -31,6 +31,8 @@
     private static final int FREE_PLACEMENTS = 4;
     /** Time for which a host that takes no work is left out. */
     private static final long RESTING_MILLIS = 500;
+    /** What the repeat of a request that makes calls takes from the budget, where another one takes 1. */
+    private static final double TREE_RETRY_COST = 3;
     /** A repeat is only worth it with this much time left. */
     private static final long LEAST_TIME_MILLIS = 10;
 
@@ -47,6 +49,7 @@
     private double retryRatio;
     private double retryReserve;
     private Set<HostId> unreachable = Set.of();
+    private final Set<String> callingRoutes = new HashSet<>();
 
     Dispatcher(
             HostId self,
@@ -183,6 +186,9 @@
                 return;
             }
             CallAnswer outcome = answer != null ? answer : lost(reply.sent());
+            if (outcome.getMakesCalls()) {
+                callingRoutes.add(order.call().getRoute());
+            }
             log.placed(order.requestId(), host.value(), attempt, outcome(outcome), now - attemptStarted);
             judge(outcome, now);
         }
@@ -212,7 +218,7 @@
                 freePlacements -= Refusals.is(outcome, ErrorKind.OVERLOADED) ? FREE_PLACEMENTS / 2 : 1;
                 rest(outcome, now);
                 next();
-            } else if (retries(order.service()).tryRetry(now)) {
+            } else if (retries(order.service()).tryRetry(retryCost(), now)) {
                 next();
             } else {
                 end(outcome);
@@ -223,7 +229,19 @@
             boolean time = order.deadlineMillis() - now >= LEAST_TIME_MILLIS;
             boolean allowed = !mayHaveRun || order.call().getIdempotent();
             boolean hopeless = Refusals.is(outcome, ErrorKind.DEADLINE_EXCEEDED) || outcome.getStatus() == 504;
-            return time && allowed && !hopeless && freePlacements > 0 && seenByUpstreams < order.maxAttempts();
+            // The failure of an execution that makes calls is likely to be theirs, and a repeat repeats them all.
+            boolean ownFailure = Refusals.isRefusal(outcome) || !outcome.getMakesCalls();
+            return time
+                    && allowed
+                    && !hopeless
+                    && ownFailure
+                    && freePlacements > 0
+                    && seenByUpstreams < order.maxAttempts();
+        }
+
+        /** A repeat repeats the calls below it as well, and those count at the services that they reach. */
+        private double retryCost() {
+            return callingRoutes.contains(order.call().getRoute()) ? TREE_RETRY_COST : 1;
         }
 
         private void rest(CallAnswer outcome, long now) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
@@ -85,11 +85,7 @@
         // Slots are exact here, because nobody else reaches the upstream; there is no limit to find out.
         this.guard = new Guard(GuardSettings.defaults(upstream.slots())
                 .withMechanisms(EnumSet.of(
-                        Mechanism.CONCURRENCY_LIMIT,
-                        Mechanism.IMPORTANCE,
-                        Mechanism.FAIRNESS,
-                        Mechanism.NEWEST_FIRST,
-                        Mechanism.DEADLINES)));
+                        Mechanism.CONCURRENCY_LIMIT, Mechanism.IMPORTANCE, Mechanism.FAIRNESS, Mechanism.DEADLINES)));
     }
 
     /** Takes what is known of the upstream now. Queued calls are refused when it takes no more work. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Knowledge.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Knowledge.java
@@ -65,7 +65,13 @@
             confirm(config.version(), asOf);
             return false;
         }
-        state = new State(config, document, asOf.steadyMillis(), asOf.wallMillis());
+        // Whatever was in force at the earlier time is part of this version too.
+        State known = state;
+        state = new State(
+                config,
+                document,
+                Math.max(known.steadyMillis(), asOf.steadyMillis()),
+                Math.max(known.wallMillis(), asOf.wallMillis()));
         return true;
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Shutdown.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Shutdown.java
@@ -10,9 +10,9 @@
     /** Time in which callers notice that this node is not ready. */
     private static final long NOTICE_MILLIS = 3_000;
     /** Part of the time to stop after which nothing new is taken. */
-    private static final double LAST_WORK_PART = 0.75;
+    private static final double LAST_WORK_PART = 0.7;
     /** Part of the time to stop after which the process ends, whatever still runs. */
-    private static final double END_PART = 0.93;
+    private static final double END_PART = 0.85;
 
     private static final long POLL_MILLIS = 50;
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StatusExchange.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StatusExchange.java
@@ -30,7 +30,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(StatusExchange.class);
     private static final long SHORTEST_INTERVAL_MILLIS = 250;
     /** Reports of one node, to all others together, a second. */
-    private static final double REPORTS_PER_SECOND = 100;
+    private static final double REPORTS_PER_SECOND = 40;
 
     private static final long ANSWER_MILLIS = 600;
     /** Reports without an answer after which a node counts as unreachable. */
@@ -147,10 +147,13 @@
         StatusReport.Builder message = StatusReport.newBuilder()
                 .setSequence(report.sequence())
                 .setConfigVersion(knowledge.version())
-                .setConfigAgeMillis((int) knowledge.ageMillis());
-        demand.forEach((organisation, perSecond) -> message.addDemand(
-                Demand.newBuilder().setOrganisation(organisation.value()).setWeight((int)
-                        Math.ceil(perSecond * WEIGHTS_PER_REQUEST))));
+                .setConfigAgeMillis((int) knowledge.ageMillis())
+                .setUpstream(LoadMessages.message(demands.load()));
+        Map<OrganisationId, Double> tokens = demands.tokens();
+        demand.forEach((organisation, perSecond) -> message.addDemand(Demand.newBuilder()
+                .setOrganisation(organisation.value())
+                .setWeight((int) Math.ceil(perSecond * WEIGHTS_PER_REQUEST))
+                .setTokens((int) (tokens.getOrDefault(organisation, 0.0) * WEIGHTS_PER_REQUEST))));
         StatusReport built = message.build();
         others.values().forEach(member -> send(member, built));
         control.schedule(this::report, intervalMillis(), TimeUnit.MILLISECONDS);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -28,6 +28,9 @@
 
     private static final long RENEW_MILLIS = 1_500;
     private static final long WATCH_MILLIS = 20_000;
+    /** Changes that come together, as at the start of a fleet, are fetched together. */
+    private static final long WATCH_PAUSE_MILLIS = 250;
+
     private static final long SHORTEST_RETRY_MILLIS = 150;
     private static final long LONGEST_RETRY_MILLIS = 600;
     /** Age of the configuration at which this node reads it itself, if no other node has told a younger one. */
@@ -191,6 +194,7 @@
         if (leaving) {
             return;
         }
+        Knowledge.Moment sent = knowledge.now();
         var unused = store.watch("", revision, WATCH_MILLIS).whenComplete((changes, error) -> {
             note("watch", error);
             if (error != null) {
@@ -200,20 +204,20 @@
                 refreshNow();
                 list();
             } else {
-                apply(changes.changes());
-                watch(changes.revision());
+                apply(changes.changes(), sent);
+                long pause = changes.changes().isEmpty() ? 0 : WATCH_PAUSE_MILLIS;
+                control.schedule(() -> watch(changes.revision()), pause, TimeUnit.MILLISECONDS);
             }
         });
     }
 
-    private void apply(List<KeyValueStore.Change> changes) {
+    private void apply(List<KeyValueStore.Change> changes, Knowledge.Moment asOf) {
         List<KeyValueStore.Change> ofMembers = new ArrayList<>();
         for (KeyValueStore.Change change : changes) {
             if (change.key().startsWith(MEMBER_PREFIX)) {
                 ofMembers.add(change);
             } else if (change.key().equals(platform.configKey())) {
-                // The event does not say when it was the newest version; the read proves that.
-                refreshNow();
+                change.item().ifPresent(item -> learn(item.value(), asOf));
             }
         }
         if (!ofMembers.isEmpty()) {
--- /dev/null
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -0,0 +1,245 @@
+package org.trefoilledge.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.trefoilledge.core.Clock;
+import org.trefoilledge.core.ErrorKind;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
+import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.ServiceId;
+import org.trefoilledge.core.ZoneId;
+import org.trefoilledge.core.placement.Candidate;
+import org.trefoilledge.core.placement.PlacementSettings;
+import org.trefoilledge.core.placement.Placer;
+import org.trefoilledge.wire.PeerIdentity;
+import org.trefoilledge.wire.generated.Call;
+import org.trefoilledge.wire.generated.CallAnswer;
+import org.trefoilledge.wire.generated.ConfigDocument;
+import org.trefoilledge.wire.generated.StatusAnswer;
+import org.trefoilledge.wire.generated.StatusReport;
+
+/** Two other nodes on loopback whose answers the tests choose. */
+class DispatcherTest {
+    private static final ZoneId ZONE = new ZoneId("a");
+    private static final ServiceId ORDERS = new ServiceId("orders");
+    private static final HostId SELF = new HostId("self");
+
+    private final EventLoopGroup traffic = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Node> nodes = new ArrayList<>();
+    private final CountDownLatch cancelled = new CountDownLatch(1);
+    private Dispatcher dispatcher;
+
+    /** A node that answers calls from a script and counts them. */
+    private final class Node implements PeerLinks.Handler, AutoCloseable {
+        private final Candidate candidate;
+        private final PeerLinks links;
+        private final List<Call> calls = new CopyOnWriteArrayList<>();
+        private volatile CallAnswer answer;
+
+        Node(String host) throws IOException {
+            String address = "127.0.0.1:" + freePort();
+            candidate = new Candidate(new HostId(host), ZONE, ORDERS, address, new Incarnation(1), 10);
+            links = new PeerLinks(new PeerIdentity(candidate.host(), ZONE, new Incarnation(1)), address, this, traffic);
+        }
+
+        @Override
+        public Runnable call(Call call, Consumer<CallAnswer> answered) {
+            calls.add(call);
+            if (answer != null) {
+                answered.accept(answer);
+            }
+            return cancelled::countDown;
+        }
+
+        @Override
+        public void report(PeerIdentity from, StatusReport report, Consumer<StatusAnswer> answered) {
+            answered.accept(StatusAnswer.getDefaultInstance());
+        }
+
+        @Override
+        public double giveTokens(OrganisationId organisation, double wanted) {
+            return 0;
+        }
+
+        @Override
+        public ConfigDocument config() {
+            return ConfigDocument.getDefaultInstance();
+        }
+
+        @Override
+        public void close() {
+            links.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        Node self = new Node("self");
+        nodes.add(new Node("first"));
+        nodes.add(new Node("second"));
+        nodes.add(self);
+        Placer placer = new Placer(ZONE, PlacementSettings.defaults(SELF));
+        placer.update(List.of(nodes.get(0).candidate, nodes.get(1).candidate));
+        Clock clock = Clock.system();
+        UpstreamPool pool = new UpstreamPool(
+                traffic, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), TestNames.NAMES, clock);
+        EventLoop loop = (EventLoop) traffic.next();
+        Gate gate = new Gate(loop, pool, LocalUpstream.none(ORDERS), new LoadMeter(ORDERS, clock), clock);
+        dispatcher = new Dispatcher(
+                SELF, gate, self.links, placer, loop, clock, new DecisionLog(clock), RandomGenerator.getDefault());
+        dispatcher.retryBudget(0.2, 10);
+    }
+
+    @AfterEach
+    void close() {
+        nodes.forEach(Node::close);
+        traffic.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
+    @Test
+    void anAnswerOfAnUpstreamIsReturned() throws Exception {
+        answers(ok(), ok());
+
+        assertThat(dispatch(false, 2).getStatus()).isEqualTo(200);
+        assertThat(calls()).isEqualTo(1);
+    }
+
+    @Test
+    void aRequestThatCertainlyHasNotRunGoesToAnotherUpstream() throws Exception {
+        CallAnswer draining = Refusals.refusal(ErrorKind.DRAINING, "leaving");
+        answers(draining, draining);
+        CallAnswer answer = dispatch(false, 2);
+
+        assertThat(calls()).isEqualTo(2);
+        assertThat(Refusals.notRun(answer)).isTrue();
+    }
+
+    @Test
+    void aNonIdempotentRequestThatMayHaveRunIsNotSentAgain() throws Exception {
+        CallAnswer lost = Refusals.refusal(ErrorKind.UPSTREAM_FAILED, "connection reset");
+        answers(lost, lost);
+        CallAnswer answer = dispatch(false, 2);
+
+        assertThat(calls()).isEqualTo(1);
+        assertThat(Refusals.notRun(answer)).isFalse();
+    }
+
+    @Test
+    void anIdempotentRequestThatFailedGoesToAsManyUpstreamsAsTheRouteAllows() throws Exception {
+        CallAnswer lost = Refusals.refusal(ErrorKind.UPSTREAM_FAILED, "connection reset");
+        answers(lost, lost);
+        assertThat(Refusals.notRun(dispatch(true, 2))).isFalse();
+        assertThat(calls()).isEqualTo(2);
+    }
+
+    @Test
+    void aRequestIsSentToOneUpstreamWhereTheRouteAllowsOne() throws Exception {
+        CallAnswer lost = Refusals.refusal(ErrorKind.UPSTREAM_FAILED, "connection reset");
+        answers(lost, lost);
+        dispatch(true, 1);
+
+        assertThat(calls()).isEqualTo(1);
+    }
+
+    @Test
+    void theFailureOfAnExecutionThatMakesCallsIsNotRepeated() throws Exception {
+        CallAnswer failed =
+                CallAnswer.newBuilder().setStatus(500).setMakesCalls(true).build();
+        answers(failed, failed);
+
+        assertThat(dispatch(true, 2).getStatus()).isEqualTo(500);
+        assertThat(calls()).isEqualTo(1);
+    }
+
+    @Test
+    void repeatsEndWhenTheBudgetOfTheFleetIsUsedUp() throws Exception {
+        onTraffic(() -> dispatcher.retryBudget(0, 1));
+        CallAnswer lost = Refusals.refusal(ErrorKind.UPSTREAM_FAILED, "connection reset");
+        answers(lost, lost);
+        dispatch(true, 2);
+        dispatch(true, 2);
+
+        assertThat(calls()).isEqualTo(3);
+    }
+
+    @Test
+    void aHostThatCannotBeReachedHasNotRunTheRequest() throws Exception {
+        nodes.get(0).close();
+        nodes.get(1).close();
+        CallAnswer answer = dispatch(false, 2);
+
+        assertThat(Refusals.notRun(answer)).isTrue();
+    }
+
+    @Test
+    void aRequestWithoutAnAnswerEndsAtItsDeadlineAndIsCancelled() throws Exception {
+        CompletableFuture<CallAnswer> answer = start(order(true, 2, 300));
+
+        assertThat(answer.get(2, TimeUnit.SECONDS).getStatus()).isEqualTo(504);
+        assertThat(Refusals.notRun(answer.get())).isFalse();
+        assertThat(cancelled.await(1, TimeUnit.SECONDS)).isTrue();
+    }
+
+    private void answers(CallAnswer first, CallAnswer second) {
+        nodes.get(0).answer = first;
+        nodes.get(1).answer = second;
+    }
+
+    private static CallAnswer ok() {
+        return CallAnswer.newBuilder().setStatus(200).build();
+    }
+
+    private int calls() {
+        return nodes.stream().mapToInt(node -> node.calls.size()).sum();
+    }
+
+    private CallAnswer dispatch(boolean idempotent, int attempts) throws Exception {
+        return start(order(idempotent, attempts, 3_000)).get(5, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<CallAnswer> start(Dispatcher.Order order) {
+        CompletableFuture<CallAnswer> answer = new CompletableFuture<>();
+        onTraffic(() -> dispatcher.dispatch(order, answer::complete));
+        return answer;
+    }
+
+    private static Dispatcher.Order order(boolean idempotent, int attempts, long millis) {
+        Call.Builder call = Call.newBuilder()
+                .setService("orders")
+                .setRoute("route")
+                .setMethod("GET")
+                .setTarget("/x")
+                .setIdempotent(idempotent);
+        return new Dispatcher.Order("r1", call, ORDERS, attempts, Clock.system().millis() + millis);
+    }
+
+    private void onTraffic(Runnable action) {
+        traffic.submit(action).syncUninterruptibly();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
