--- a/core/src/main/java/org/trefoilledge/core/Names.java
+++ b/core/src/main/java/org/trefoilledge/core/Names.java
@@ -1,17 +1,34 @@
 package org.trefoilledge.core;
 
-import java.util.regex.Pattern;
-
 /** Checks names that come from operators, settings or peers. */
 final class Names {
-    private static final Pattern VALID = Pattern.compile("[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?");
+    private static final int LONGEST = 64;
 
     private Names() {}
 
     static void check(String what, String value) {
-        if (value == null || !VALID.matcher(value).matches()) {
+        if (value == null || !valid(value)) {
             throw new IllegalArgumentException(what + " must be 1 to 64 lower-case letters, digits, dots and hyphens,"
                     + " starting and ending with a letter or digit, but was: " + value);
         }
     }
+
+    /** Checks by hand, because ids are made for every request. */
+    private static boolean valid(String value) {
+        int length = value.length();
+        if (length == 0 || length > LONGEST || !inner(value.charAt(0)) || !inner(value.charAt(length - 1))) {
+            return false;
+        }
+        for (int i = 1; i < length - 1; i++) {
+            char c = value.charAt(i);
+            if (!inner(c) && c != '.' && c != '-') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean inner(char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+    }
 }
--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
@@ -25,14 +25,14 @@
     /** No class is refused entirely, so that it is noticed when its cost has fallen. */
     private static final double LEAST_PART = 0.05;
 
-    private static final double LOWEST_CORRECTION = 0.5;
-    private static final double HIGHEST_CORRECTION = 1.15;
-    private static final double CORRECTION_DOWN = 0.95;
-    private static final double CORRECTION_UP = 1.03;
-    /** Wait for a slot above which the plan was too generous. */
-    private static final double LONG_WAIT_MILLIS = 15;
-    /** Use of the slots below which a plan that refuses something was too strict. */
-    private static final double LOW_USE = 0.85;
+    private static final double LOWEST_CORRECTION = 0.7;
+    private static final double HIGHEST_CORRECTION = 1.5;
+    private static final double CORRECTION_DOWN = 0.97;
+    private static final double CORRECTION_UP = 1.06;
+    /** Wait for a slot above which the plan was too generous, if the slots are in use. */
+    private static final double LONG_WAIT_MILLIS = 25;
+    /** Use of the slots below which a plan that refuses something was too strict, whatever waits at one upstream. */
+    private static final double LOW_USE = 0.88;
 
     private final Map<ServiceId, Double> corrections = new HashMap<>();
     private Set<ServiceId> full = Set.of();
@@ -78,9 +78,10 @@
     private void correct(Map<ServiceId, Service> services) {
         services.forEach((id, service) -> {
             double correction = corrections.getOrDefault(id, 1.0);
-            if (service.wait / service.nodes > LONG_WAIT_MILLIS) {
+            boolean used = service.busy >= LOW_USE * service.capacity;
+            if (used && service.wait / service.nodes > LONG_WAIT_MILLIS) {
                 correction *= CORRECTION_DOWN;
-            } else if (full.contains(id) && service.busy < LOW_USE * service.capacity) {
+            } else if (!used && full.contains(id)) {
                 correction *= CORRECTION_UP;
             } else if (!full.contains(id)) {
                 correction += (1 - correction) * (CORRECTION_UP - 1);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
@@ -30,7 +30,7 @@
 
     private static final int MAX_REQUEST_LINE_BYTES = 16 * 1024;
     /** Interval at which slow and idle connections are looked for. */
-    private static final long SWEEP_MILLIS = 250;
+    private static final long SWEEP_MILLIS = 500;
 
     private final EventLoopGroup traffic;
     private final RequestHandler handler;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/DecisionLog.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/DecisionLog.java
@@ -13,7 +13,7 @@
 final class DecisionLog {
     private static final Logger LOG = LoggerFactory.getLogger("decision");
     /** Lines a second; more would take processor time from requests. */
-    private static final int LINES_PER_SECOND = 40;
+    private static final int LINES_PER_SECOND = 15;
     /** One in so many successful requests is logged. */
     private static final int SAMPLE = 128;
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -111,13 +111,13 @@
     }
 
     private Optional<Candidate> place(ServiceId service, Set<HostId> used, long now) {
+        restingUntil.values().removeIf(until -> now >= until);
+        if (restingUntil.isEmpty() && unreachable.isEmpty()) {
+            return placer.place(service, used, now, random);
+        }
         Set<HostId> excluded = new HashSet<>(used);
         excluded.addAll(unreachable);
-        restingUntil.forEach((host, until) -> {
-            if (now < until) {
-                excluded.add(host);
-            }
-        });
+        excluded.addAll(restingUntil.keySet());
         Optional<Candidate> calm = placer.place(service, excluded, now, random);
         return calm.isPresent() ? calm : placer.place(service, used, now, random);
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
@@ -37,6 +37,8 @@
 
     private static final OrganisationId OPEN = new OrganisationId("open");
     private static final long TICK_MILLIS = 20;
+    /** Interval while nothing is queued; a call that is queued meanwhile starts the shorter one. */
+    private static final long IDLE_TICK_MILLIS = 200;
     /** Time after its deadline at which a call that the upstream still holds is broken off. */
     private static final long OVERDUE_MILLIS = 1_000;
     /** Time for which calls are refused after the upstream accepted no connection. */
@@ -51,6 +53,7 @@
     private LocalUpstream upstream;
     private Map<OrganisationId, Double> weights = Map.of();
     private ScheduledFuture<?> ticker;
+    private boolean tickerIsQuick;
     private long tickets;
     private long unreachableUntil = Long.MIN_VALUE;
     private boolean stopping;
@@ -258,8 +261,14 @@
     }
 
     private void startTicker() {
+        boolean queued = report().inFlight() < pending.size();
+        if (ticker != null && queued && !tickerIsQuick) {
+            ticker.cancel(false);
+            ticker = null;
+        }
         if (ticker == null && !pending.isEmpty()) {
-            ticker = loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            tickerIsQuick = queued;
+            ticker = loop.schedule(this::tick, queued ? TICK_MILLIS : IDLE_TICK_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
@@ -29,7 +29,6 @@
     private final Map<RouteId, Double> holds = new HashMap<>();
     private final Map<RequestClass, Double> arrived = new HashMap<>();
     private final Map<RouteId, Double> started = new HashMap<>();
-    private final Map<RouteId, Double> called = new HashMap<>();
     private final Map<RouteId, double[]> ended = new HashMap<>();
     private double busyIntegral;
     private int busy;
@@ -54,12 +53,13 @@
 
     /** Counts a call that the upstream makes. */
     void called(RouteId route) {
-        called.merge(route, 1.0, Double::sum);
+        ratios.called(route, clock.millis());
     }
 
     /** Counts the start of an execution and the time for which it waited. */
     void started(RouteId route, long waitedMillis) {
         started.merge(route, 1.0, Double::sum);
+        ratios.started(route, clock.millis());
         waitSum += (double) waitedMillis;
         waits++;
         integrate();
@@ -68,6 +68,7 @@
 
     /** Counts the end of an execution. */
     void ended(RouteId route, long heldMillis) {
+        ratios.ended(route, clock.millis());
         double[] sum = ended.computeIfAbsent(route, r -> new double[2]);
         sum[0] += (double) heldMillis;
         sum[1]++;
@@ -98,7 +99,7 @@
         double elapsed = Math.max(1.0, (double) (now - intervalStart));
         intervalStart = now;
         double fresh = 1 - Math.exp(-elapsed / RATE_MILLIS);
-        ratios.observe(started, called);
+        ratios.update(now);
         average(arrivalRates, arrived, elapsed, fresh);
         average(executionRates, started, elapsed, fresh);
         double freshHold = 1 - Math.exp(-elapsed / HOLD_MILLIS);
@@ -110,7 +111,6 @@
         waitAverage += (wait - waitAverage) * fresh;
         arrived.clear();
         started.clear();
-        called.clear();
         ended.clear();
         busyIntegral = 0;
         waitSum = 0;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -53,7 +53,7 @@
     /** Time for which a request waits for a token of another node; an answer within a region takes a few. */
     private static final long TOKEN_MILLIS = 30;
 
-    private static final long TICK_MILLIS = 100;
+    private static final long TICK_MILLIS = 250;
     private static final long UPSTREAM_SWEEP_MILLIS = 1_000;
     /** Part of the fleet's allowance for repeats that is used; repeated requests repeat their own calls as well. */
     private static final double RETRY_PART = 0.3;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StatusExchange.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StatusExchange.java
@@ -30,7 +30,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(StatusExchange.class);
     private static final long SHORTEST_INTERVAL_MILLIS = 250;
     /** Reports of one node, to all others together, a second. */
-    private static final double REPORTS_PER_SECOND = 40;
+    private static final double REPORTS_PER_SECOND = 30;
 
     private static final long ANSWER_MILLIS = 600;
     /** Reports without an answer after which a node counts as unreachable. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -37,6 +37,8 @@
     private static final long REFRESH_MILLIS = 1_000;
 
     private static final long REFRESH_SPREAD_MILLIS = 400;
+    /** Interval at which the age is looked at. */
+    private static final long CHECK_MILLIS = 300;
 
     private final EventLoop control;
     private final KeyValueStore store;
@@ -82,7 +84,7 @@
         readConfig();
         register();
         control.scheduleWithFixedDelay(this::renew, RENEW_MILLIS, RENEW_MILLIS, TimeUnit.MILLISECONDS);
-        control.scheduleWithFixedDelay(this::refresh, REFRESH_MILLIS, SHORTEST_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        control.scheduleWithFixedDelay(this::refresh, REFRESH_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Changes this node's entry. */
--- /dev/null
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -0,0 +1,131 @@
+package org.trefoilledge.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.trefoilledge.configstore.StoreUnavailableException;
+
+/** A store in memory that can be down. One instance serves all nodes of a test. */
+final class MemoryStore {
+    private final Map<String, KeyValueStore.Item> items = new TreeMap<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private long revision = 1;
+    private long leases;
+    private volatile boolean down;
+
+    private record Watcher(String prefix, Executor executor, CompletableFuture<KeyValueStore.Changes> future) {}
+
+    void down(boolean unreachable) {
+        down = unreachable;
+    }
+
+    synchronized long put(String key, byte[] value) {
+        KeyValueStore.Item item = new KeyValueStore.Item(key, value, ++revision);
+        items.put(key, item);
+        List<Watcher> woken = new ArrayList<>(watchers);
+        watchers.clear();
+        for (Watcher watcher : woken) {
+            if (!key.startsWith(watcher.prefix())) {
+                watchers.add(watcher);
+                continue;
+            }
+            var change = new KeyValueStore.Change(key, Optional.of(item));
+            var changes = new KeyValueStore.Changes(List.of(change), revision, false);
+            watcher.executor().execute(() -> watcher.future().complete(changes));
+        }
+        return revision;
+    }
+
+    /** Returns the store as a node sees it, with futures that complete on the given executor. */
+    KeyValueStore client(Executor executor) {
+        return new Client(executor);
+    }
+
+    private final class Client implements KeyValueStore {
+        private final Executor executor;
+
+        Client(Executor executor) {
+            this.executor = executor;
+        }
+
+        private <T> CompletableFuture<T> answer(T value) {
+            CompletableFuture<T> future = new CompletableFuture<>();
+            executor.execute(() -> {
+                if (down) {
+                    future.completeExceptionally(new StoreUnavailableException("down"));
+                } else {
+                    future.complete(value);
+                }
+            });
+            return future;
+        }
+
+        @Override
+        public CompletableFuture<Optional<Item>> read(String key) {
+            synchronized (MemoryStore.this) {
+                return answer(Optional.ofNullable(items.get(key)));
+            }
+        }
+
+        @Override
+        public CompletableFuture<Listing> list(String prefix) {
+            synchronized (MemoryStore.this) {
+                return answer(new Listing(
+                        items.values().stream()
+                                .filter(item -> item.key().startsWith(prefix))
+                                .toList(),
+                        revision));
+            }
+        }
+
+        @Override
+        public CompletableFuture<Changes> watch(String prefix, long afterRevision, long waitMillis) {
+            synchronized (MemoryStore.this) {
+                List<Change> missed = items.values().stream()
+                        .filter(item -> item.key().startsWith(prefix) && item.revision() > afterRevision)
+                        .map(item -> new Change(item.key(), Optional.of(item)))
+                        .toList();
+                if (!missed.isEmpty() || down) {
+                    return answer(new Changes(missed, revision, false));
+                }
+                CompletableFuture<Changes> future = new CompletableFuture<>();
+                watchers.add(new Watcher(prefix, executor, future));
+                return future;
+            }
+        }
+
+        @Override
+        public CompletableFuture<Long> startLease(long lifetimeMillis) {
+            return answer(++leases);
+        }
+
+        @Override
+        public CompletableFuture<Boolean> renewLease(long lease) {
+            return answer(true);
+        }
+
+        @Override
+        public CompletableFuture<Void> endLease(long lease) {
+            return answer(null);
+        }
+
+        @Override
+        public CompletableFuture<Optional<Long>> write(String key, byte[] value, long expectedRevision, long lease) {
+            synchronized (MemoryStore.this) {
+                Item known = items.get(key);
+                long current = known == null ? 0 : known.revision();
+                if (down || current != expectedRevision) {
+                    return answer(Optional.empty());
+                }
+                return answer(Optional.of(put(key, value)));
+            }
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
@@ -0,0 +1,262 @@
+package org.trefoilledge.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.RouteId;
+import org.trefoilledge.core.ServiceId;
+import org.trefoilledge.core.ZoneId;
+import org.trefoilledge.core.routing.CallerLimits;
+import org.trefoilledge.core.routing.HostRoute;
+import org.trefoilledge.core.routing.OrganisationPolicy;
+import org.trefoilledge.core.routing.RoutingConfig;
+import org.trefoilledge.core.routing.TrafficSplit;
+
+/** Two sidecars with their upstreams on loopback, and a store in memory: the whole path without the bench. */
+class SidecarFleetTest {
+    private static final ServiceId ORDERS = new ServiceId("orders");
+    private static final ServiceId TRACKING = new ServiceId("tracking");
+    private static final long REVOCATION_MILLIS = 2_000;
+    private static final String CONFIG_KEY = "config";
+
+    private final MemoryStore store = new MemoryStore();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<Host> hosts = new ArrayList<>();
+
+    /** A configuration is "version key"; an announcement is "id service slots sequence state". */
+    private final class TestPlatform implements Platform {
+        @Override
+        public HeaderNames headers() {
+            return TestNames.NAMES;
+        }
+
+        @Override
+        public KeyValueStore openStore(InetSocketAddress address, EventLoop control) {
+            return store.client(control);
+        }
+
+        @Override
+        public String configKey() {
+            return CONFIG_KEY;
+        }
+
+        @Override
+        public RoutingConfig readConfig(byte[] document) {
+            List<String> parts = words(document);
+            OrganisationPolicy bakery = new OrganisationPolicy(
+                    new OrganisationId("bakery"), Set.of(parts.get(1)), OptionalInt.empty(), 0, 0);
+            return new RoutingConfig(
+                    Long.parseLong(parts.get(0)),
+                    CallerLimits.DEFAULT,
+                    List.of(route("orders", ORDERS), route("tracking", TRACKING)),
+                    List.of(bakery));
+        }
+
+        @Override
+        public Announcement readAnnouncement(String method, String path, byte[] body) {
+            List<String> parts = words(body);
+            return new Announcement.Heartbeat(
+                    parts.get(0),
+                    new ServiceId(parts.get(1)),
+                    Integer.parseInt(parts.get(2)),
+                    parts.get(4).equals("draining"),
+                    Long.parseLong(parts.get(3)),
+                    1);
+        }
+    }
+
+    private final class Host implements AutoCloseable {
+        private final UpstreamStub upstream;
+        private final Sidecar sidecar;
+        private final int callers;
+        private final int announcements;
+        private final ServiceId service;
+
+        Host(String name, ServiceId service) throws IOException {
+            this.service = service;
+            upstream = new UpstreamStub((head, socket, out) -> {
+                String id = head.replaceAll("(?s).*X-Request: ([^\n]*)\n.*", "$1");
+                UpstreamStub.write(out, UpstreamStub.answer(id, name));
+            });
+            callers = freePort();
+            announcements = freePort();
+            sidecar = Sidecar.start(
+                    new SidecarSettings(
+                            new HostId(name),
+                            new ZoneId("a"),
+                            service,
+                            upstream.address(),
+                            local(callers),
+                            local(freePort()),
+                            local(announcements),
+                            local(freePort()),
+                            local(freePort()),
+                            local(1),
+                            "text",
+                            new SidecarSettings.Bounds(1_000, REVOCATION_MILLIS, 60_000, 0.2, 48, 20)),
+                    new TestPlatform());
+        }
+
+        void announce(long sequence, String state) throws Exception {
+            String body = "i-1 " + service + " 10 " + sequence + " " + state;
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + announcements + "/x"))
+                    .PUT(HttpRequest.BodyPublishers.ofString(body))
+                    .build();
+            assertThat(client.send(request, HttpResponse.BodyHandlers.discarding())
+                            .statusCode())
+                    .isEqualTo(200);
+        }
+
+        HttpResponse<String> get(String path, String key) throws Exception {
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callers + path))
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .timeout(Duration.ofSeconds(5))
+                    .header(TestNames.NAMES.requestId(), "r" + System.nanoTime())
+                    .header(TestNames.NAMES.key(), key)
+                    .build();
+            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        }
+
+        @Override
+        public void close() throws IOException {
+            sidecar.close();
+            upstream.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        configure("1 k1");
+        hosts.add(new Host("host-1", ORDERS));
+        hosts.add(new Host("host-2", TRACKING));
+        for (Host host : hosts) {
+            host.announce(1, "ready");
+        }
+        awaitStatus(hosts.get(0), "/orders/1", "k1", 200);
+        awaitStatus(hosts.get(0), "/tracking/1", "k1", 200);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Host host : hosts) {
+            host.close();
+        }
+    }
+
+    @Test
+    void aRequestRunsAtTheUpstreamOfAnotherHost() throws Exception {
+        assertThat(hosts.get(0).get("/tracking/1", "k1").body()).isEqualTo("host-2");
+        assertThat(hosts.get(1).get("/orders/1", "k1").body()).isEqualTo("host-1");
+    }
+
+    @Test
+    void anUpstreamSeesTheOrganisationAndTheCallingServiceButNoKey() throws Exception {
+        hosts.get(0).get("/tracking/secret", "k1");
+        String head = hosts.get(1).upstream.heads().stream()
+                .filter(text -> text.contains("/secret"))
+                .findFirst()
+                .orElseThrow();
+
+        assertThat(head).contains("X-Organisation: bakery").contains("X-Caller: orders");
+        assertThat(head).doesNotContain("k1");
+    }
+
+    @Test
+    void aChangedConfigurationIsInForceOnAllNodes() throws Exception {
+        configure("2 k2");
+
+        for (Host host : hosts) {
+            awaitStatus(host, "/orders/1", "k2", 200);
+            assertThat(host.get("/orders/1", "k1").statusCode()).isEqualTo(401);
+        }
+    }
+
+    @Test
+    void keysAreRefusedAsNotRunWhenTheStoreIsAwayForLongerThanThePromise() throws Exception {
+        store.down(true);
+        Thread.sleep(500);
+        assertThat(hosts.get(0).get("/orders/1", "k1").statusCode()).isEqualTo(200);
+        Thread.sleep(REVOCATION_MILLIS);
+        assertThat(hosts.get(0).get("/orders/1", "k1").statusCode()).isEqualTo(503);
+
+        store.down(false);
+        awaitStatus(hosts.get(0), "/orders/1", "k1", 200);
+    }
+
+    @Test
+    void aLeavingUpstreamGetsNoNewWorkAfterItsAnnouncementIsAcknowledged() throws Exception {
+        hosts.get(1).announce(2, "draining");
+        int before = hosts.get(1).upstream.heads().size();
+        HttpResponse<String> answer = hosts.get(0).get("/tracking/1", "k1");
+
+        assertThat(answer.statusCode()).isEqualTo(503);
+        assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+        assertThat(hosts.get(1).upstream.heads()).hasSize(before);
+    }
+
+    private void configure(String text) {
+        store.put(CONFIG_KEY, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void awaitStatus(Host host, String path, String key, int status) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        int last = 0;
+        while (System.nanoTime() < end) {
+            last = host.get(path, key).statusCode();
+            if (last == status) {
+                return;
+            }
+            Thread.sleep(50);
+        }
+        assertThat(last).isEqualTo(status);
+    }
+
+    private static List<String> words(byte[] bytes) {
+        return Arrays.asList(new String(bytes, StandardCharsets.UTF_8).split(" ", -1));
+    }
+
+    private static HostRoute route(String name, ServiceId service) {
+        return new HostRoute(
+                new RouteId(name),
+                "127.0.0.1",
+                "/" + name + "/",
+                true,
+                2_000,
+                500,
+                0,
+                TrafficSplit.only(service),
+                2,
+                false);
+    }
+
+    private static InetSocketAddress local(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
