--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -47,9 +47,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Sidecar.class);
     /** A key is trusted for this much less than the promised time, so that the check and the read may take a while. */
     private static final long REVOCATION_MARGIN_MILLIS = 400;
-    /** Time for which a node whose entry has gone is kept; a living one writes its entry again within two seconds. */
-    private static final long LINGER_MILLIS = 2_500;
-
     /** Time for which a request waits for a token of another node; an answer within a region takes a few. */
     private static final long TOKEN_MILLIS = 30;
 
@@ -85,8 +82,7 @@
     private final StoreFollower follower;
     private final StatusExchange exchange;
     private final List<Endpoint> endpoints = new ArrayList<>();
-    private final Map<HostId, Member> members = new HashMap<>();
-    private final Map<HostId, Long> vanishedSince = new HashMap<>();
+    private final MemberTable members;
     private volatile Map<OrganisationId, Double> shownTokens = Map.of();
     private volatile NodeLoad shownLoad;
     private volatile boolean stopping;
@@ -95,6 +91,7 @@
     private Sidecar(SidecarSettings settings, Platform platform) throws IOException {
         this.settings = settings;
         this.platform = platform;
+        this.members = new MemberTable(settings.host());
         HeaderNames names = platform.headers();
         DecisionLog log = new DecisionLog(clock);
         division = new RateDivision(limits, shares, settings.bounds().limitSlack(), clock.millis());
@@ -194,7 +191,9 @@
     private void tick() {
         upstreamWatch.tick(clock.millis());
         upstreamChanged();
-        forgetVanished();
+        if (members.forgetVanished(clock.millis())) {
+            showMembers();
+        }
     }
 
     private LocalUpstream shownUpstream = LocalUpstream.none(new org.trefoilledge.core.ServiceId("none"));
@@ -224,37 +223,15 @@
     }
 
     private void membersChanged(Map<HostId, Member> current) {
-        long now = clock.millis();
-        for (HostId host : members.keySet()) {
-            if (!current.containsKey(host)) {
-                vanishedSince.putIfAbsent(host, now);
-            }
-        }
-        vanishedSince.keySet().removeAll(current.keySet());
-        members.putAll(current);
+        members.listed(current, clock.millis());
         membersListed = true;
         showMembers();
     }
 
-    private void forgetVanished() {
-        long now = clock.millis();
-        boolean removed = vanishedSince.entrySet().removeIf(entry -> {
-            boolean old = now - entry.getValue() > LINGER_MILLIS;
-            if (old) {
-                members.remove(entry.getKey());
-            }
-            return old;
-        });
-        if (removed) {
-            showMembers();
-        }
-    }
-
     private void showMembers() {
-        Map<HostId, Member> others = new HashMap<>(members);
-        others.remove(settings.host());
-        exchange.members(Map.copyOf(others));
-        double nodes = members.size() + 1.0;
+        Map<HostId, Member> others = members.others();
+        exchange.members(others);
+        double nodes = others.size() + 1.0;
         double ratio = settings.bounds().retryRatio() * RETRY_PART;
         double reserve = settings.bounds().retrySlack() * RETRY_PART / nodes;
         Map<HostId, RateLimits.Lender> lenders = new HashMap<>();
@@ -270,8 +247,8 @@
     private void placeMembers() {
         List<Candidate> candidates = new ArrayList<>();
         Member self = self();
-        members.values().stream()
-                .filter(member -> member.serving() && !member.host().equals(self.host()))
+        members.others().values().stream()
+                .filter(Member::serving)
                 .map(Member::candidate)
                 .forEach(candidates::add);
         if (self.serving()) {
@@ -330,7 +307,7 @@
     }
 
     private int nodes() {
-        return Math.max(1, members.size());
+        return members.others().size() + 1;
     }
 
     private CallerLimits callerLimits() {
