Do not suspect a host whose calls this node has ended itself; keep the demand of nodes not yet listed

The demand of a node that had reported but was not listed yet was forgotten at the next change of members.

--- a/core/src/main/java/org/trefoilledge/core/share/RateShares.java
+++ b/core/src/main/java/org/trefoilledge/core/share/RateShares.java
@@ -51,9 +51,11 @@
      * it. Before the first call every share is 0.
      */
     public void members(Set<HostId> others) {
+        Set<HostId> before = members;
         members = Set.copyOf(others);
         membersKnown = true;
-        peers.keySet().removeIf(host -> !members.contains(host));
+        // A node that has reported may not be listed here yet; its demand counts all the same.
+        peers.keySet().removeIf(host -> before.contains(host) && !members.contains(host));
         forgetAcknowledged();
     }
 
--- a/core/src/test/java/org/trefoilledge/core/share/RateSharesTest.java
+++ b/core/src/test/java/org/trefoilledge/core/share/RateSharesTest.java
@@ -65,6 +65,21 @@
         assertThat(fleet.totalShare()).isLessThanOrEqualTo(1.0001);
     }
 
+    @Test
+    void theDemandOfANodeThatIsNotListedYetStaysReserved() {
+        HostId known = new HostId("known");
+        HostId joining = new HostId("joining");
+        RateShares shares = new RateShares();
+        shares.members(Set.of(known));
+        RateShares.Report own = shares.report(Map.of(BAKERY, 10.0));
+        shares.acknowledged(known, FIRST, own.sequence());
+        shares.heard(known, FIRST, new RateShares.Report(1, Map.of(BAKERY, 10.0)));
+        shares.heard(joining, FIRST, new RateShares.Report(1, Map.of(BAKERY, 20.0)));
+        shares.members(Set.of(known));
+
+        assertThat(shares.share(BAKERY)).isCloseTo(0.25, within(0.001));
+    }
+
     @Test
     void aRestartedNodeHasNoShareUntilItKnowsTheOthers() {
         Fleet fleet = new Fleet(2, 1);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -174,13 +174,14 @@
         private void replied(int number, Candidate candidate, PeerLinks.Reply reply) {
             long now = clock.millis();
             CallAnswer answer = reply.answer();
+            // A request that this node has ended itself says nothing about the host.
             placer.finished(
                     candidate.host(),
                     answer == null
                             ? Optional.empty()
                             : Optional.of(new LoadReport(
                                     answer.getInFlight(), answer.getLimit(), answer.getQueueDelayMillis(), 0)),
-                    answer != null,
+                    answer != null || done,
                     now);
             if (done || number != attempt) {
                 return;
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -200,6 +200,27 @@
         assertThat(cancelled.await(1, TimeUnit.SECONDS)).isTrue();
     }
 
+    @Test
+    void callersThatLeaveDoNotMakeAHostSuspect() throws Exception {
+        for (int i = 0; i < 20; i++) {
+            CompletableFuture<CallAnswer> ignored = new CompletableFuture<>();
+            Runnable cancel = traffic.submit(() -> dispatcher.dispatch(order(true, 2, 3_000), ignored::complete))
+                    .syncUninterruptibly()
+                    .getNow();
+            onTraffic(cancel);
+        }
+        Thread.sleep(100);
+        answers(ok(), ok());
+        int firstBefore = nodes.get(0).calls.size();
+        int secondBefore = nodes.get(1).calls.size();
+        for (int i = 0; i < 40; i++) {
+            dispatch(true, 1);
+        }
+
+        assertThat(nodes.get(0).calls.size()).isGreaterThan(firstBefore);
+        assertThat(nodes.get(1).calls.size()).isGreaterThan(secondBefore);
+    }
+
     private void answers(CallAnswer first, CallAnswer second) {
         nodes.get(0).answer = first;
         nodes.get(1).answer = second;
