--- /dev/null
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/ReloadSignalTest.java
@@ -0,0 +1,20 @@
+package org.trefoilledge.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class ReloadSignalTest {
+    @Test
+    void theProcessLivesOnAndRunsTheActionWhenItIsToldToReload() throws Exception {
+        CountDownLatch reloaded = new CountDownLatch(1);
+        ReloadSignal.install(reloaded::countDown);
+        Class<?> signal = Class.forName("sun.misc.Signal");
+        signal.getMethod("raise", signal)
+                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"));
+
+        assertThat(reloaded.await(2, TimeUnit.SECONDS)).isTrue();
+    }
+}
