--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -85,12 +85,16 @@
     private final MemberTable members;
     private volatile Map<OrganisationId, Double> shownTokens = Map.of();
     private volatile NodeLoad shownLoad;
+    /** What the gate and the store were last told; control thread only. */
+    private LocalUpstream shownUpstream;
+
     private volatile boolean stopping;
     private volatile boolean membersListed;
 
     private Sidecar(SidecarSettings settings, Platform platform) throws IOException {
         this.settings = settings;
         this.platform = platform;
+        this.shownUpstream = LocalUpstream.none(settings.service());
         this.members = new MemberTable(settings.host());
         HeaderNames names = platform.headers();
         DecisionLog log = new DecisionLog(clock);
@@ -196,8 +200,6 @@
         }
     }
 
-    private LocalUpstream shownUpstream = LocalUpstream.none(new org.trefoilledge.core.ServiceId("none"));
-
     private void upstreamChanged() {
         LocalUpstream current = upstreamWatch.current();
         if (current.equals(shownUpstream)) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -23,7 +23,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(StoreFollower.class);
     static final String MEMBER_PREFIX = "nodes/";
 
-    /** Longer than a freeze of a few seconds would be cheap, but an entry must not outlive its node for long. */
+    /** An entry outlives its node for at most this time; a shorter one would lapse at every pause of a node. */
     private static final long LEASE_MILLIS = 5_000;
 
     private static final long RENEW_MILLIS = 1_500;
@@ -101,10 +101,6 @@
         }
     }
 
-    boolean listed() {
-        return listed;
-    }
-
     private void register() {
         if (leaving) {
             return;
--- a/wire/src/main/java/org/trefoilledge/wire/PeerAddress.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerAddress.java
@@ -6,7 +6,7 @@
 import java.net.UnknownHostException;
 
 /** Reads addresses such as {@code 127.0.0.1:8082} and {@code [::1]:8082}. Names are not resolved. */
-public final class PeerAddress {
+final class PeerAddress {
     private static final int MAX_PORT = 65_535;
 
     private PeerAddress() {}
@@ -16,7 +16,7 @@
      *
      * @throws IllegalArgumentException if it is not an IP address and a port
      */
-    public static InetSocketAddress parse(String address) {
+    static InetSocketAddress parse(String address) {
         int colon = address.lastIndexOf(':');
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(address.substring(0, colon));
         if (ip == null) {
