--- a/core/src/test/java/org/trefoilledge/core/rate/RateClaimSpecTest.java
+++ b/core/src/test/java/org/trefoilledge/core/rate/RateClaimSpecTest.java
@@ -40,8 +40,7 @@
     }
 
     private static Map<String, String> base() {
-        Map<String, String> constants =
-                new LinkedHashMap<>(Map.of("A", "a", "B", "b", "L", "2", "MaxLeases", "2"));
+        Map<String, String> constants = new LinkedHashMap<>(Map.of("A", "a", "B", "b", "L", "2", "MaxLeases", "2"));
         for (String rule : List.of(
                 "CheckBeforeGrant",
                 "CountFromSending",
