Survive unexpected errors, remember a leaving upstream over a restart, distrust nameless refusals

Reports of operators of similar systems, looked for here; each was possible and has a test that failed on: - One unexpected error ended what a node knows: an executor drops a repeated task that throws, and a watch was not asked for again after an error in its answer. SidecarFleetTest.aDocumentThatCannotBeReadStopsNothing. - A node that restarted forgot that its upstream had said that it leaves, and a late heartbeat brought it back. The entry in the store keeps the leaving run; a node serves nothing before it has seen what its earlier run left there (at most 1.5 s while the store is away). SidecarFleetTest, UpstreamWatchTest. - A refusal as not run without the request's id, on a connection that was in use before, was taken for the present request. It may be a late copy for another one, so "not run" was not certain.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
@@ -13,7 +13,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.routing.CallerLimits;
@@ -77,7 +76,7 @@
             throw new IOException("cannot listen on " + address, bound.cause());
         }
         listener = bound.channel();
-        traffic.next().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        Repeated.every(traffic.next(), SWEEP_MILLIS, this::sweep);
     }
 
     /** From now on each answer asks the caller to close its connection. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.HostId;
@@ -33,6 +32,8 @@
     private static final long EXCHANGE_MILLIS = 400;
     /** Part of the fleet's allowance for repeats that is used; repeated requests repeat their own calls as well. */
     private static final double RETRY_PART = 0.3;
+    /** A node that starts while the store is away does not wait longer for what its earlier run has left there. */
+    private static final long PAST_MILLIS = 1_500;
 
     private final SidecarSettings settings;
     private final Incarnation incarnation;
@@ -50,6 +51,7 @@
     private LocalUpstream shownUpstream;
     private Map<RateClaim, TokenSource.Holder> shownHolders = Map.of();
     private Set<HostId> shownSilent = Set.of();
+    private final long startedMillis;
     private boolean stopping;
 
     ControlPlane(
@@ -69,10 +71,11 @@
         this.incarnation = incarnation;
         this.control = control;
         this.clock = clock;
+        this.startedMillis = clock.millis();
         this.knowledge = knowledge;
         this.traffic = traffic;
         StoreNotes notes = new StoreNotes(metrics);
-        registration = new Registration(control, store, notes, leaseClock, random);
+        registration = new Registration(control, store, notes, leaseClock, random, this::earlierRun);
         ClaimPlan plan = new ClaimPlan(settings.host(), incarnation, settings.zone(), settings.zones());
         claims = new RateClaims(settings.host(), incarnation, plan, store, notes, new ClaimEffects());
         directory = new Directory(settings.host(), settings.zone(), claims::changed);
@@ -99,8 +102,8 @@
     void start() {
         registration.start(self());
         follower.start();
-        control.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        control.scheduleWithFixedDelay(collector::exchange, EXCHANGE_MILLIS, EXCHANGE_MILLIS, TimeUnit.MILLISECONDS);
+        Repeated.every(control, TICK_MILLIS, this::tick);
+        Repeated.every(control, EXCHANGE_MILLIS, collector::exchange);
     }
 
     /** Returns whether all other nodes are known. */
@@ -167,8 +170,21 @@
         }
     }
 
+    private void earlierRun(Member past) {
+        if (past.leavingRun() > 0) {
+            upstreamWatch.leftBefore(past.upstream(), past.leavingRun());
+            upstreamChanged();
+        }
+    }
+
+    /** Returns the upstream once it is known whether it had already left when an earlier run of this node ended. */
+    private LocalUpstream knownUpstream() {
+        boolean known = registration.pastKnown() || clock.millis() - startedMillis > PAST_MILLIS;
+        return known ? upstreamWatch.current() : LocalUpstream.none(settings.service());
+    }
+
     private void upstreamChanged() {
-        LocalUpstream current = upstreamWatch.current();
+        LocalUpstream current = knownUpstream();
         if (current.equals(shownUpstream)) {
             return;
         }
@@ -179,7 +195,7 @@
     }
 
     private Member self() {
-        LocalUpstream upstream = upstreamWatch.current();
+        LocalUpstream upstream = knownUpstream();
         return new Member(
                 settings.host(),
                 settings.zone(),
@@ -188,7 +204,8 @@
                 settings.service(),
                 upstream.id(),
                 upstream.slots(),
-                upstream.serving() && !stopping);
+                upstream.serving() && !stopping,
+                upstreamWatch.leavingRun());
     }
 
     private void showMembers() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
@@ -16,6 +16,7 @@
  * @param peers address for other sidecars
  * @param upstream name of the upstream's run, empty if there is none
  * @param serving whether the upstream may get work
+ * @param leavingRun start of the upstream's run that has said that it leaves, 0 if it has not; for the next run of the node
  */
 record Member(
         HostId host,
@@ -25,7 +26,8 @@
         ServiceId service,
         String upstream,
         int slots,
-        boolean serving) {
+        boolean serving,
+        long leavingRun) {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     static Member of(byte[] stored) throws IOException {
@@ -39,7 +41,8 @@
                     new ServiceId(text(entry, "service")),
                     text(entry, "upstream"),
                     entry.path("slots").asInt(),
-                    entry.path("serving").asBoolean());
+                    entry.path("serving").asBoolean(),
+                    entry.path("leavingRun").asLong());
         } catch (IllegalArgumentException e) {
             throw new IOException("a member's entry is incomplete: " + e.getMessage(), e);
         }
@@ -63,6 +66,7 @@
                 .put("upstream", upstream)
                 .put("slots", slots)
                 .put("serving", serving)
+                .put("leavingRun", leavingRun)
                 .toString()
                 .getBytes(StandardCharsets.UTF_8);
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
@@ -1,8 +1,10 @@
 package org.trefoilledge.sidecar;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,6 +30,7 @@
     private final StoreNotes notes;
     private final Clock leaseClock;
     private final RandomGenerator random;
+    private final Consumer<Member> earlierRun;
     private Member own;
     private long ownRevision;
     private byte[] written = new byte[0];
@@ -35,23 +38,32 @@
     private boolean writing;
     private boolean leaving;
     private long validUntilMillis = Long.MIN_VALUE;
+    private boolean pastKnown;
 
     /**
      * @param leaseClock counts suspensions, in which leases go on to run
+     * @param earlierRun takes the entry that an earlier run of this node has left in the store
      */
-    Registration(EventLoop control, KeyValueStore store, StoreNotes notes, Clock leaseClock, RandomGenerator random) {
+    Registration(
+            EventLoop control,
+            KeyValueStore store,
+            StoreNotes notes,
+            Clock leaseClock,
+            RandomGenerator random,
+            Consumer<Member> earlierRun) {
         this.control = control;
         this.store = store;
         this.notes = notes;
         this.leaseClock = leaseClock;
         this.random = random;
+        this.earlierRun = earlierRun;
     }
 
     /** Starts a lease and writes the entry under it. */
     void start(Member self) {
         own = self;
         register();
-        control.scheduleWithFixedDelay(this::renew, RENEW_MILLIS, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+        Repeated.every(control, RENEW_MILLIS, this::renew);
     }
 
     /** Changes this node's entry. */
@@ -78,6 +90,11 @@
         return lease == 0 ? Long.MIN_VALUE : validUntilMillis;
     }
 
+    /** Returns whether it is known what an earlier run of this node has left in the store. */
+    boolean pastKnown() {
+        return pastKnown;
+    }
+
     private void register() {
         if (leaving) {
             return;
@@ -129,6 +146,7 @@
             writing = false;
             notes.note("write", error);
             if (error == null && revision.isPresent()) {
+                pastKnown = true;
                 ownRevision = revision.get();
                 written = value;
                 writeOwn();
@@ -145,6 +163,8 @@
             notes.note("read", error);
             if (error == null) {
                 ownRevision = item.map(KeyValueStore.Item::revision).orElse(0L);
+                item.ifPresent(this::learnPast);
+                pastKnown = true;
                 later(this::writeOwn);
             } else {
                 later(() -> learnOwnRevision(key));
@@ -152,6 +172,17 @@
         });
     }
 
+    private void learnPast(KeyValueStore.Item item) {
+        try {
+            Member past = Member.of(item.value());
+            if (!past.incarnation().equals(own.incarnation())) {
+                earlierRun.accept(past);
+            }
+        } catch (IOException e) {
+            LOG.warn("store: ignored the earlier entry of this node: {}", e.getMessage());
+        }
+    }
+
     private void later(Runnable action) {
         long delay = random.nextLong(SHORTEST_RETRY_MILLIS, LONGEST_RETRY_MILLIS);
         control.schedule(action, delay, TimeUnit.MILLISECONDS);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -136,8 +136,7 @@
         endpoints.add(new Endpoint(settings.announcements(), controlGroup, this::announced));
         callers.listen(settings.callers());
         control.execute(controlPlane::start);
-        traffic.scheduleWithFixedDelay(
-                pool::sweep, UPSTREAM_SWEEP_MILLIS, UPSTREAM_SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        Repeated.every(traffic, UPSTREAM_SWEEP_MILLIS, pool::sweep);
     }
 
     private boolean ready() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -83,7 +83,7 @@
     void start() {
         readConfig();
         list(++round, false);
-        control.scheduleWithFixedDelay(this::refresh, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        Repeated.every(control, CHECK_MILLIS, this::refresh);
     }
 
     /** Starts or stops to watch the store. */
@@ -120,8 +120,10 @@
                 later(() -> list(ofRound, thenWatch));
                 return;
             }
-            directory.listed(listing.items(), clock.millis());
-            changed.directoryChanged();
+            Repeated.guarded(() -> {
+                directory.listed(listing.items(), clock.millis());
+                changed.directoryChanged();
+            });
             if (thenWatch) {
                 watch(ofRound, listing.revision());
             }
@@ -145,7 +147,7 @@
                 refreshNow();
                 list(ofRound, true);
             } else {
-                apply(changes.changes(), sent);
+                Repeated.guarded(() -> apply(changes.changes(), sent));
                 long pause = changes.changes().isEmpty() ? 0 : WATCH_PAUSE_MILLIS;
                 control.schedule(() -> watch(ofRound, changes.revision()), pause, TimeUnit.MILLISECONDS);
             }
@@ -202,8 +204,8 @@
                 LOG.info("config: version {} is in force", knowledge.version());
                 changed.configChanged();
             }
-        } catch (ConfigFormatException e) {
-            LOG.error("config: ignored a configuration that cannot be read: {}", e.getMessage());
+        } catch (ConfigFormatException | RuntimeException e) {
+            LOG.error("config: ignored a configuration that cannot be read", e);
         }
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -53,6 +53,7 @@
     private long bytesBeforeHead;
     private int skippedAnswers;
     private boolean answerComplete;
+    private boolean usedBefore;
     private boolean broken;
     private long idleSince;
     private long announcedIdleMillis = Long.MAX_VALUE;
@@ -186,6 +187,9 @@
         }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipAnswer();
+        } else if (usedBefore && head.headers().get(pool.names().requestId()) == null && notExecuted()) {
+            // It may be a late copy for an earlier request, whose answer came before.
+            fail("an answer without the request's id says that something has not run");
         } else if (belongsToOther()) {
             LOG.info("upstream: skipped a late answer to another request");
             skipAnswer();
@@ -257,6 +261,7 @@
         head = null;
         dropBody();
         answerComplete = false;
+        usedBefore = true;
         idleSince = pool.clock().millis();
         if (reusable && context.channel().isActive()) {
             pool.released(this);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
@@ -22,6 +22,8 @@
     private boolean leaving;
     /** The run that has said last that it leaves; this node may have started after its last heartbeat. */
     private String left = "";
+    /** Start of the run that had left before this node started. */
+    private long leftRun = Long.MIN_VALUE;
 
     UpstreamWatch(ServiceId service, long heartbeatMillis) {
         this.service = service;
@@ -49,6 +51,21 @@
         return false;
     }
 
+    /** Takes what an earlier run of this node knew: a run of the upstream that has said that it leaves. */
+    void leftBefore(String id, long runStartedMillis) {
+        left = id;
+        leftRun = runStartedMillis;
+        if (id.equals(current.id()) && startedMillis <= runStartedMillis) {
+            leaving = true;
+            change(current.in(LocalUpstream.State.DRAINING), "it has told an earlier run of this node that it leaves");
+        }
+    }
+
+    /** Returns the start of the upstream's run that has said that it leaves, 0 if it has not. */
+    long leavingRun() {
+        return leaving ? startedMillis : 0;
+    }
+
     /** Notices that announcements have stopped. */
     void tick(long now) {
         if (current.state() != LocalUpstream.State.GONE && now - heardMillis > MISSED_HEARTBEATS * heartbeatMillis) {
@@ -66,7 +83,9 @@
         if (!later && !(sameRun && heartbeat.sequence() > sequence)) {
             return true;
         }
-        boolean leftUnseen = startedMillis == Long.MIN_VALUE && heartbeat.id().equals(left);
+        boolean leftUnseen = heartbeat.id().equals(left)
+                && ((startedMillis == Long.MIN_VALUE && leftRun == Long.MIN_VALUE)
+                        || heartbeat.startedMillis() <= leftRun);
         leaving = heartbeat.draining() || leftUnseen || (leaving && !later);
         startedMillis = heartbeat.startedMillis();
         sequence = heartbeat.sequence();
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
@@ -125,7 +125,7 @@
 
     private static KeyValueStore.Item node(HostId host, long revision) {
         Member member =
-                new Member(host, ZONE, "127.0.0.1:1", new Incarnation(1), new ServiceId("orders"), "i-1", 10, true);
+                new Member(host, ZONE, "127.0.0.1:1", new Incarnation(1), new ServiceId("orders"), "i-1", 10, true, 0);
         return new KeyValueStore.Item(Directory.NODES + host, member.stored(), revision);
     }
 
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
@@ -220,6 +220,38 @@
         assertThat(hosts.get(1).upstream.heads()).hasSize(before);
     }
 
+    @Test
+    void aDocumentThatCannotBeReadStopsNothing() throws Exception {
+        configure("no version at all");
+        store.put(Directory.NODES + "broken", new byte[] {'{'});
+        store.put(Directory.CLAIMS + "shard-0-0", new byte[] {'['});
+        Thread.sleep(500);
+        Host third = new Host("host-3", TRACKING);
+        hosts.add(third);
+        third.announce(1, "ready");
+        hosts.get(1).announce(2, "draining");
+        awaitStatus(hosts.get(0), "/tracking/1", "k1", 200);
+        configure("2 k2");
+
+        awaitStatus(hosts.get(0), "/tracking/1", "k2", 200);
+        assertThat(hosts.get(0).get("/tracking/1", "k2").body()).isEqualTo("host-3");
+    }
+
+    @Test
+    void aNodeThatRestartsRemembersThatItsUpstreamHadLeft() throws Exception {
+        hosts.get(1).announce(2, "draining");
+        Thread.sleep(300);
+        hosts.get(1).close();
+        Host restarted = new Host("host-2", TRACKING);
+        hosts.set(1, restarted);
+        Thread.sleep(500);
+        restarted.announce(1, "ready");
+        HttpResponse<String> answer = restarted.get("/tracking/1", "k1");
+
+        assertThat(answer.statusCode()).isEqualTo(503);
+        assertThat(restarted.upstream.heads()).isEmpty();
+    }
+
     private void configure(String text) {
         store.put(CONFIG_KEY, text.getBytes(StandardCharsets.UTF_8));
     }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamPoolTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamPoolTest.java
@@ -132,6 +132,22 @@
         }
     }
 
+    @Test
+    void aNamelessNotRunOnAConnectionThatWasUsedBeforeProvesNothing() throws Exception {
+        try (UpstreamStub upstream = new UpstreamStub((head, socket, out) -> UpstreamStub.write(
+                out,
+                head.contains("X-Request: r1")
+                        ? UpstreamStub.answer("r1", "first")
+                        : "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))) {
+            UpstreamPool pool = pool(upstream);
+            call(pool, "r1");
+            CallAnswer answer = call(pool, "r2");
+
+            assertThat(pool.connectionsOpened()).isEqualTo(1);
+            assertThat(Refusals.notRun(answer)).isFalse();
+        }
+    }
+
     @Test
     void anUpstreamThatAcceptsNoConnectionHasNotRunARequest() throws Exception {
         UpstreamStub upstream = new UpstreamStub((head, socket, out) -> {});
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamWatchTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamWatchTest.java
@@ -11,6 +11,16 @@
 
     private final UpstreamWatch watch = new UpstreamWatch(ORDERS, HEARTBEAT_MILLIS);
 
+    @Test
+    void anUpstreamThatHadLeftBeforeThisNodeRestartedStaysOutWhateverALateHeartbeatSays() {
+        watch.leftBefore("i-1", 100);
+        heartbeat("i-1", 1, 100, false);
+        assertThat(watch.current().serving()).isFalse();
+        heartbeat("i-1", 1, 200, false);
+
+        assertThat(watch.current().serving()).isTrue();
+    }
+
     @Test
     void anUpstreamServesOnceItHasAnnouncedItself() {
         assertThat(watch.current().serving()).isFalse();
