--- a/core/src/main/java/org/trefoilledge/core/rate/RateTolerance.java
+++ b/core/src/main/java/org/trefoilledge/core/rate/RateTolerance.java
@@ -20,7 +20,9 @@
     /** Part of the relative tolerance that the reserves of all zones share. */
     private static final double RESERVE_OVER_PART = 0.4;
     /** Part of the requests of the tolerance that the reserves of all zones share. */
-    private static final double RESERVE_SLACK_PART = 0.5;
+    private static final double RESERVE_SLACK_PART = 0.48;
+    /** Part of the relative tolerance of the bursts that the reserves of all zones share. */
+    private static final double RESERVE_BURST_PART = 0.95;
     /** Part of the requests of the tolerance that makes an owner's bucket deeper than the burst. */
     private static final double DEPTH_PART = 0.3;
     /** Part of the requests of the tolerance with which new owners of all parts start; they may change twice in a window. */
@@ -49,7 +51,8 @@
     /** Returns the size of the bucket that the reserve of one zone keeps. */
     RateBucket.Size reserve(OrganisationPolicy policy) {
         double ofWindow = policy.ratePerSecond() * windowMillis / MILLIS_PER_SECOND;
-        double tokens = (RESERVE_OVER_PART * over * ofWindow + RESERVE_SLACK_PART * slack) / zones;
+        double ofLimit = over * (RESERVE_OVER_PART * ofWindow + RESERVE_BURST_PART * policy.burst());
+        double tokens = (ofLimit + RESERVE_SLACK_PART * slack) / zones;
         // A full bucket gives its depth and what comes in a window.
         double depth = tokens / 2;
         if (depth < 1) {
