--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -32,6 +32,10 @@
     private static final long EXCHANGE_MILLIS = 400;
     /** Part of the fleet's allowance for repeats that is used; repeated requests repeat their own calls as well. */
     private static final double RETRY_PART = 0.3;
+    /** Time for all nodes of a fleet that starts for the first time to write their entries. */
+    private static final long FIRST_LIST_MILLIS = 1_500;
+    /** A node that has just begun to follow the store may not know the other candidates for a claim yet. */
+    private static final long FIRST_CLAIM_MILLIS = 500;
     /** A node that starts while the store is away does not wait longer for what its earlier run has left there. */
     private static final long PAST_MILLIS = 1_500;
 
@@ -52,6 +56,7 @@
     private Map<RateClaim, TokenSource.Holder> shownHolders = Map.of();
     private Set<HostId> shownSilent = Set.of();
     private final long startedMillis;
+    private long followsSinceMillis;
     private boolean stopping;
 
     ControlPlane(
@@ -101,7 +106,7 @@
 
     void start() {
         registration.start(self());
-        follower.start();
+        follower.start(settings.firstStart() ? FIRST_LIST_MILLIS : 0);
         Repeated.every(control, TICK_MILLIS, this::tick);
         Repeated.every(control, EXCHANGE_MILLIS, collector::exchange);
     }
@@ -148,11 +153,13 @@
             showMembers();
         }
         if (!directory.complete()) {
+            reports.awaitDirectory();
             return;
         }
         follow(reports.needsStore());
         reports.report();
-        boolean mayClaim = follower.isWatching() && !stopping;
+        boolean mayClaim =
+                follower.isWatching() && !stopping && clock.millis() - followsSinceMillis >= FIRST_CLAIM_MILLIS;
         claims.tick(
                 registration.lease(),
                 registration.validUntilMillis(),
@@ -162,6 +169,9 @@
     }
 
     private void follow(boolean wanted) {
+        if (wanted && !follower.isWatching()) {
+            followsSinceMillis = clock.millis();
+        }
         follower.watching(wanted);
         collector.watching(wanted);
         follower.collecting(collector.collecting());
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
@@ -45,7 +45,7 @@
     private final Map<HostId, Long> silentUntil = new HashMap<>();
     private long directorySource;
     private long directoryVersion;
-    private long toldMillis = Long.MIN_VALUE / 2;
+    private long toldMillis;
     private long answeredMillis = Long.MIN_VALUE / 2;
     private boolean awaitingAnswer;
 
@@ -79,6 +79,12 @@
         this.clock = clock;
         this.load = load;
         this.effects = effects;
+        this.toldMillis = clock.millis();
+    }
+
+    /** Gives the collector of the zone time, from now on, to tell this node about the others. */
+    void awaitDirectory() {
+        toldMillis = clock.millis();
     }
 
     /** Returns whether this node has to follow the store: for its zone, or because no collector tells it anything. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarSettings.java
@@ -23,6 +23,7 @@
  * @param peers address for other nodes
  * @param operators address for metrics
  * @param store address of the platform's store
+ * @param firstStart whether the whole fleet starts for the first time, so that most nodes are not in the store yet
  * @param logFormat {@code text} or {@code json}
  */
 public record SidecarSettings(
@@ -37,6 +38,7 @@
         InetSocketAddress peers,
         InetSocketAddress operators,
         InetSocketAddress store,
+        boolean firstStart,
         String logFormat,
         Bounds bounds) {
 
@@ -91,6 +93,7 @@
                 listen.address("peers"),
                 listen.address("operators"),
                 toml.section("store").address("address"),
+                toml.flag("first-start", false),
                 logFormat(toml.section("log")),
                 bounds(toml.section("bounds")));
         toml.finish();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -79,10 +79,11 @@
         this.changed = changed;
     }
 
-    /** Reads everything once. */
-    void start() {
+    /** Reads everything once, the nodes after a pause in which they can write their entries. */
+    void start(long pauseMillis) {
         readConfig();
-        list(++round, false);
+        long first = ++round;
+        control.schedule(() -> list(first, false), pauseMillis, TimeUnit.MILLISECONDS);
         Repeated.every(control, CHECK_MILLIS, this::refresh);
     }
 
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
@@ -118,6 +118,7 @@
                             local(freePort()),
                             local(freePort()),
                             local(1),
+                            false,
                             "text",
                             new SidecarSettings.Bounds(1_000, REVOCATION_MILLIS, 60_000, 0.2, 48, 0.1, 20, 5_000)),
                     new TestPlatform());
