--- a/core/src/main/java/org/trefoilledge/core/rate/ClaimPlan.java
+++ b/core/src/main/java/org/trefoilledge/core/rate/ClaimPlan.java
@@ -50,7 +50,7 @@
     /**
      * Returns the claims to try now.
      *
-     * @param nodes zone of each node, this one included
+     * @param nodes zone of each node, this one included; empty if only claims of an earlier run are to be taken
      * @param holders who has which claim, as the store shows it
      */
     public List<RateClaim> toTry(Map<HostId, ZoneId> nodes, Map<RateClaim, Holder> holders, long now) {
@@ -65,6 +65,9 @@
                 }
                 continue;
             }
+            if (nodes.isEmpty()) {
+                continue;
+            }
             int rank = candidates(claim, nodes).indexOf(self);
             long since = freeSince.computeIfAbsent(claim, free -> now);
             if (rank >= 0 && now - since >= rank * STEP_MILLIS) {
--- a/core/src/test/java/org/trefoilledge/core/rate/ClaimPlanTest.java
+++ b/core/src/test/java/org/trefoilledge/core/rate/ClaimPlanTest.java
@@ -86,6 +86,15 @@
         assertThat(triesAt(0).get(RateClaim.shard(0, 0))).containsExactly(host);
     }
 
+    @Test
+    void aNodeThatDoesNotKnowTheOthersYetTakesOnlyTheClaimsOfItsEarlierRun() {
+        HostId host = new HostId("a-0");
+        holders.put(RateClaim.shard(0, 0), new ClaimPlan.Holder(host, FIRST));
+        ClaimPlan restarted = new ClaimPlan(host, new Incarnation(2), ZONES.get(0), ZONES);
+
+        assertThat(restarted.toTry(Map.of(), holders, 60_000)).containsExactly(RateClaim.shard(0, 0));
+    }
+
     @Test
     void aNewRunWhoseTimeOfDayWasSetBackTakesTheClaimsOfItsEarlierRunAsWell() {
         HostId host = new HostId("a-0");
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
@@ -121,7 +121,7 @@
      *
      * @param currentLease lease of this node, 0 if it has none
      * @param untilMillis time up to which the lease certainly runs
-     * @param nodes zone of each node, this one included; empty if this node is to take no further claims
+     * @param nodes zone of each node, this one included; empty if it is to take no claims but those of its earlier run
      */
     void tick(long currentLease, long untilMillis, Map<HostId, ZoneId> nodes, long now) {
         if (currentLease != lease) {
@@ -134,9 +134,7 @@
             return;
         }
         confirmed.keySet().forEach(claim -> effects.hold(claim, untilMillis));
-        if (!nodes.isEmpty()) {
-            plan.toTry(nodes, holders, now).forEach(claim -> take(claim, now));
-        }
+        plan.toTry(nodes, holders, now).forEach(claim -> take(claim, now));
         // A write whose answer was lost shows as a claim of this run that was not confirmed.
         Map.copyOf(holders).forEach((claim, holder) -> {
             if (isSelf(holder) && !confirmed.containsKey(claim)) {
--- a/spec/RateClaim.tla
+++ b/spec/RateClaim.tla
@@ -1,6 +1,6 @@
 ----------------------------- MODULE RateClaim -----------------------------
 (***************************************************************************)
-(* Who may give the tokens of one claim on a rate (docs/design.md). A claim *)
+(* Who may give the tokens of one claim on a rate (docs/platform.md). A claim *)
 (* is a key in the store, written under the lease of its holder and gone   *)
 (* with it. Time is coarse: Tick advances every timer by one step.         *)
 (*                                                                         *)
