Let only the collector of a zone follow the store

The second delegate of a zone now hears of changes from the first one like every other node, and follows the store when that is silent; changes that come within half a second are fetched together.

MemoryStore: a write of one node failed because a watcher of a stopped node could not be told (SidecarFleetTest, seen once: the announcement got no answer). The stand-in drops such a watcher; no check changed.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
@@ -48,6 +48,7 @@
     private long toldMillis;
     private long answeredMillis = Long.MIN_VALUE / 2;
     private boolean awaitingAnswer;
+    private boolean needsStore;
 
     /** What follows from the answer of a collector. */
     interface Effects {
@@ -87,9 +88,22 @@
         toldMillis = clock.millis();
     }
 
-    /** Returns whether this node has to follow the store: for its zone, or because no collector tells it anything. */
+    /**
+     * Returns whether this node has to follow the store: for its zone, or because no collector tells it anything. It goes
+     * on until a collector has told it the directory.
+     */
     boolean needsStore() {
-        return directory.delegates(zone).contains(self) || clock.millis() - toldMillis > UNTOLD_MILLIS;
+        long now = clock.millis();
+        needsStore |= collector(now).equals(self) || now - toldMillis > UNTOLD_MILLIS;
+        return needsStore;
+    }
+
+    /** Returns the first delegate that is not known to be silent, this node if there is none. */
+    private HostId collector(long now) {
+        return directory.delegates(zone).stream()
+                .filter(host -> now >= silentUntil.getOrDefault(host, now))
+                .findFirst()
+                .orElse(self);
     }
 
     /** Reports once. */
@@ -98,22 +112,18 @@
         if (now - answeredMillis > OLD_PLAN_MILLIS) {
             effects.planned(AdmissionPlan.ALL);
         }
-        List<HostId> delegates = directory.delegates(zone);
-        Optional<HostId> chosen = delegates.stream()
-                .filter(host -> now >= silentUntil.getOrDefault(host, now))
-                .findFirst();
+        HostId chosen = collector(now);
         StatusReport report = StatusReport.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis())
                 .setUpstream(LoadMessages.message(load.get()))
                 .setDirectorySource(directorySource)
                 .setDirectoryVersion(directoryVersion)
-                .setFollowsStore(delegates.contains(self))
                 .build();
-        if (chosen.isEmpty() || chosen.get().equals(self)) {
+        if (chosen.equals(self)) {
             apply(collector.heard(self, report));
         } else if (!awaitingAnswer) {
-            send(directory.others().get(chosen.get()), report);
+            send(directory.others().get(chosen), report);
         }
     }
 
@@ -144,6 +154,7 @@
 
     private void learn(StatusAnswer answer) {
         toldMillis = clock.millis();
+        needsStore = false;
         directorySource = answer.getDirectorySource();
         directoryVersion = answer.getDirectoryVersion();
         if (answer.getDirectoryWhole() || answer.getDirectoryCount() > 0) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -10,8 +10,8 @@
 import org.trefoilledge.core.Clock;
 
 /**
- * Reads the configuration, the nodes and the claims in the store. The delegates of a zone, and nodes that no collector
- * answers, follow the store with a watch, which brings changes at once; the others only read the configuration if nobody
+ * Reads the configuration, the nodes and the claims in the store. The collector of a zone, and nodes that no
+ * collector answers, follow the store with a watch, which brings changes at once; the others only read the configuration if nobody
  * has confirmed it for long. Used on the control thread.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // each call notes how it ended
@@ -20,7 +20,7 @@
     /** A watch on a connection that has gone silent is noticed after this time and the slack of its answer. */
     private static final long WATCH_MILLIS = 8_000;
     /** Changes that come together, as at the start of a fleet, are fetched together. */
-    private static final long WATCH_PAUSE_MILLIS = 250;
+    private static final long WATCH_PAUSE_MILLIS = 500;
 
     private static final long SHORTEST_RETRY_MILLIS = 150;
     private static final long LONGEST_RETRY_MILLIS = 600;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
@@ -99,7 +99,7 @@
                 .setConfigAgeMillis((int) knowledge.ageMillis())
                 .addAllAdmitted(LoadMessages.message(plan(now)));
         loads.silent(directory.others(), now).forEach(host -> answer.addSilentHosts(host.value()));
-        if (watching && directory.complete() && !report.getFollowsStore()) {
+        if (watching && directory.complete() && !from.equals(self)) {
             long known = report.getDirectorySource() == incarnation.value() ? report.getDirectoryVersion() : 0;
             addDirectory(answer, directory.since(known));
         }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import org.trefoilledge.configstore.StoreUnavailableException;
 
 /** A store in memory that can be down. One instance serves all nodes of a test. */
@@ -46,7 +47,16 @@
             }
             var change = new KeyValueStore.Change(key, item);
             var changes = new KeyValueStore.Changes(List.of(change), revision, false);
+            tell(watcher, changes);
+        }
+    }
+
+    private static void tell(Watcher watcher, KeyValueStore.Changes changes) {
+        try {
             watcher.executor().execute(() -> watcher.future().complete(changes));
+        } catch (RejectedExecutionException e) {
+            // The node has stopped; the one that has written must not hear of that.
+            watcher.future().cancel(false);
         }
     }
 
