Tell the true reason of a refusal without an owner; answer a fault at an endpoint

Within 60 ms after nobody could be asked for tokens, further requests were told that they are over their limit. An unexpected error while an announcement, a readiness or a metrics request was answered closed the connection without an answer (seen in a test, through a fault of the test's store). RateLimitsTest and EndpointTest; the second was not run against the code before.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Endpoint.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Endpoint.java
@@ -87,7 +87,7 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             Reply reply = request.decoderResult().isFailure()
                     ? Reply.empty(HttpResponseStatus.BAD_REQUEST.code())
-                    : handler.handle(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content()));
+                    : handle(request);
             byte[] body = reply.body().getBytes(StandardCharsets.UTF_8);
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(body));
@@ -96,6 +96,15 @@
             context.writeAndFlush(response);
         }
 
+        private Reply handle(FullHttpRequest request) {
+            try {
+                return handler.handle(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content()));
+            } catch (RuntimeException e) {
+                LOG.error("endpoint: a request for {} failed", request.uri(), e);
+                return Reply.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             LOG.debug("endpoint: connection failed", cause);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RateLimits.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RateLimits.java
@@ -57,6 +57,9 @@
         private final TokenStock stock = new TokenStock();
         private final Deque<Consumer<Decision>> waiting = new ArrayDeque<>();
         private boolean asking;
+        /** What requests are told without asking until the time below. */
+        private Verdict dryVerdict = Verdict.OVER_LIMIT;
+
         private long dryUntil = Long.MIN_VALUE;
     }
 
@@ -80,7 +83,7 @@
             decided.accept(new Decision(Verdict.GRANTED, token, 0));
             askAhead(organisation, account, now);
         } else if (now < account.dryUntil) {
-            decided.accept(refused(account.dryUntil - now));
+            decided.accept(refused(account.dryVerdict, account.dryUntil - now));
         } else {
             account.waiting.addLast(decided);
             ask(organisation, account);
@@ -133,21 +136,20 @@
         long now = clock.millis();
         grant.ifPresent(given -> account.stock.add(given.tokens(), asked, lifeMillis));
         long retryAfter = grant.map(TokenGrant::retryAfterMillis).orElse(NO_OWNER_RETRY_MILLIS);
+        Verdict otherwise = grant.isPresent() ? Verdict.OVER_LIMIT : Verdict.NO_OWNER;
         if (retryAfter > 0) {
+            account.dryVerdict = otherwise;
             account.dryUntil = now + Math.min(DRY_MILLIS, retryAfter);
         }
         for (int i = 0; i < needed; i++) {
             Optional<TokenStock.Token> token = account.stock.take(now);
-            Decision decision = token.isPresent()
-                    ? new Decision(Verdict.GRANTED, token, 0)
-                    : grant.isPresent()
-                            ? refused(retryAfter)
-                            : new Decision(Verdict.NO_OWNER, Optional.empty(), NO_OWNER_RETRY_MILLIS);
+            Decision decision =
+                    token.isPresent() ? new Decision(Verdict.GRANTED, token, 0) : refused(otherwise, retryAfter);
             account.waiting.pollFirst().accept(decision);
         }
     }
 
-    private static Decision refused(long retryAfterMillis) {
-        return new Decision(Verdict.OVER_LIMIT, Optional.empty(), Math.max(1, retryAfterMillis));
+    private static Decision refused(Verdict verdict, long retryAfterMillis) {
+        return new Decision(verdict, Optional.empty(), Math.max(1, retryAfterMillis));
     }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -10,8 +10,8 @@
 import org.trefoilledge.core.Clock;
 
 /**
- * Reads the configuration, the nodes and the claims in the store. The collector of a zone, and nodes that no
- * collector answers, follow the store with a watch, which brings changes at once; the others only read the configuration if nobody
+ * Reads the configuration, the nodes and the claims in the store. The collector of a zone, and nodes that no collector
+ * answers, follow the store with a watch, which brings changes at once; the others only read the configuration if nobody
  * has confirmed it for long. Used on the control thread.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // each call notes how it ended
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RateLimitsTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RateLimitsTest.java
@@ -79,6 +79,16 @@
         assertThat(verdicts).containsExactly(RateLimits.Verdict.NO_OWNER);
     }
 
+    @Test
+    void requestsThatComeShortlyAfterHearTheSameReason() {
+        take();
+        asked.get(0).complete(Optional.empty());
+        take();
+
+        assertThat(verdicts).containsExactly(RateLimits.Verdict.NO_OWNER, RateLimits.Verdict.NO_OWNER);
+        assertThat(asked).hasSize(1);
+    }
+
     @Test
     void aFailedQuestionCountsAsUnanswered() {
         take();
