Tell directories of collectors that started in the same millisecond apart

A directory's versions were named by the incarnation of the collector alone, which is the millisecond of its start, and all nodes of a fleet may start within 0.3 s. A node that changed from one collector to such another one would have taken the versions of the first for those of the second and kept a stale directory. Found by reading; DirectoryTest, which could not be compiled against the code before.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
@@ -1,5 +1,6 @@
 package org.trefoilledge.sidecar;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -14,6 +15,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.ZoneId;
 import org.trefoilledge.core.rate.ZoneDelegates;
 
@@ -68,6 +70,11 @@
         this.claims = claims;
     }
 
+    /** Returns what tells the versions of one run of a node from those of another; runs may begin at the same time. */
+    static long source(HostId host, Incarnation incarnation) {
+        return Hashing.xxh3_64().hashCharsToLong(host + "#" + incarnation.value());
+    }
+
     /** Returns the other nodes, as an immutable table. */
     Map<HostId, Member> others() {
         return others;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
@@ -40,7 +40,7 @@
 
     private final HostId self;
     private final ZoneId zone;
-    private final Incarnation incarnation;
+    private final long directorySource;
     private final PeerLinks peers;
     private final Knowledge knowledge;
     private final Directory directory;
@@ -64,7 +64,7 @@
             Clock clock) {
         this.self = self;
         this.zone = zone;
-        this.incarnation = incarnation;
+        this.directorySource = Directory.source(self, incarnation);
         this.peers = peers;
         this.knowledge = knowledge;
         this.directory = directory;
@@ -100,7 +100,7 @@
                 .addAllAdmitted(LoadMessages.message(plan(now)));
         loads.silent(directory.others(), now).forEach(host -> answer.addSilentHosts(host.value()));
         if (watching && directory.complete() && !from.equals(self)) {
-            long known = report.getDirectorySource() == incarnation.value() ? report.getDirectoryVersion() : 0;
+            long known = report.getDirectorySource() == directorySource ? report.getDirectoryVersion() : 0;
             addDirectory(answer, directory.since(known));
         }
         return answer.build();
@@ -115,7 +115,7 @@
     }
 
     private void addDirectory(StatusAnswer.Builder answer, Directory.Update update) {
-        answer.setDirectorySource(incarnation.value())
+        answer.setDirectorySource(directorySource)
                 .setDirectoryVersion(update.version())
                 .setDirectoryWhole(update.whole());
         for (KeyValueStore.Change change : update.changes()) {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
@@ -97,6 +97,14 @@
         assertThat(directory.others()).containsOnlyKeys(THIRD);
     }
 
+    @Test
+    void versionsOfTwoNodesThatStartedAtTheSameTimeAreToldApart() {
+        Incarnation sameMoment = new Incarnation(1_700_000_000_000L);
+
+        assertThat(Directory.source(SELF, sameMoment)).isNotEqualTo(Directory.source(OTHER, sameMoment));
+        assertThat(Directory.source(SELF, sameMoment)).isNotEqualTo(Directory.source(SELF, new Incarnation(1)));
+    }
+
     @Test
     void aWholeDirectoryReplacesWhatWasKnown() {
         directory.listed(List.of(node(OTHER, 1), claim(2)), 0);
