Await the late response in the test of late responses

The transport promises no order between streams. Second cause in the same test: on a cold start the 100 ms may end before the connection is open, then the request was not sent.

Ruled out: a retired connection (it takes 3 s of silence) and a lost response.

As strict: the late response must still be counted exactly once, the requests after it must still get their own answers; one more request is checked.

--- a/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
@@ -109,13 +109,19 @@
             }
         });
         PeerTransport client = start("a", 1, Peers.SILENT);
+        client.ask(server.address(), call("/connect"), 5_000).get();
 
         PeerException failure = failureOf(client.ask(server.address(), call("/slow"), 100));
         assertThat(failure.sent()).isTrue();
+        await(() -> late.get() != null);
         late.get().run();
 
+        // A response of another thread may be written after the one to a request that comes later.
         Envelope next = client.ask(server.address(), call("/next"), 5_000).get();
         assertThat(next.getCallAnswer().getUpstream()).isEqualTo("/next");
+        await(() -> client.lateResponses() == 1);
+        Envelope last = client.ask(server.address(), call("/last"), 5_000).get();
+        assertThat(last.getCallAnswer().getUpstream()).isEqualTo("/last");
         assertThat(client.lateResponses()).isEqualTo(1);
     }
 
