Report at every second tick while nothing presses; compare and plan only what changed

Besides, at every tick each node compared the whole table of members, and each collector worked out the silent nodes for every report and the candidates of free claims for every claim.

Change: ReportPace (a calm node reports at every second tick, one with waiting calls, a surge or a plan in force at every tick), a plan wakes the traffic thread only when it differs, silent nodes and admitted parts once for each plan, candidates once for each set of nodes, tables of members only after a change; ids compare without the generated methods.

--- a/core/src/main/java/org/trefoilledge/core/Incarnation.java
+++ b/core/src/main/java/org/trefoilledge/core/Incarnation.java
@@ -17,6 +17,17 @@
         return Long.compare(value, other.value);
     }
 
+    // The generated methods of a record are slow in code that is not optimised yet, and members are compared often.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Incarnation that && that.value == value;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(value);
+    }
+
     @Override
     public String toString() {
         return Long.toString(value);
--- a/core/src/main/java/org/trefoilledge/core/rate/ClaimPlan.java
+++ b/core/src/main/java/org/trefoilledge/core/rate/ClaimPlan.java
@@ -26,6 +26,9 @@
     private final ZoneId zone;
     private final List<RateClaim> claims;
     private final Map<RateClaim, Long> freeSince = new HashMap<>();
+    private final Map<RateClaim, List<HostId>> candidates = new HashMap<>();
+    /** The nodes from which the candidates were chosen. */
+    private Map<HostId, ZoneId> knownNodes = Map.of();
 
     /** The run of a node that has a claim. */
     public record Holder(HostId host, Incarnation incarnation) {}
@@ -54,6 +57,10 @@
      * @param holders who has which claim, as the store shows it
      */
     public List<RateClaim> toTry(Map<HostId, ZoneId> nodes, Map<RateClaim, Holder> holders, long now) {
+        if (!nodes.equals(knownNodes)) {
+            knownNodes = Map.copyOf(nodes);
+            candidates.clear();
+        }
         List<RateClaim> tries = new ArrayList<>();
         for (RateClaim claim : claims) {
             Holder holder = holders.get(claim);
@@ -68,7 +75,7 @@
             if (nodes.isEmpty()) {
                 continue;
             }
-            int rank = candidates(claim, nodes).indexOf(self);
+            int rank = candidates.computeIfAbsent(claim, this::choose).indexOf(self);
             long since = freeSince.computeIfAbsent(claim, free -> now);
             if (rank >= 0 && now - since >= rank * STEP_MILLIS) {
                 tries.add(claim);
@@ -77,13 +84,13 @@
         return tries;
     }
 
-    private List<HostId> candidates(RateClaim claim, Map<HostId, ZoneId> nodes) {
+    private List<HostId> choose(RateClaim claim) {
         if (claim.isReserve()) {
             return claim.equals(RateClaim.reserve(zone))
-                    ? ZoneDelegates.of(zone, nodes, CANDIDATES_PER_ZONE)
+                    ? ZoneDelegates.of(zone, knownNodes, CANDIDATES_PER_ZONE)
                     : List.of();
         }
-        List<ZoneId> zones = nodes.values().stream()
+        List<ZoneId> zones = knownNodes.values().stream()
                 .distinct()
                 .sorted(Comparator.comparingLong((ZoneId each) -> claim.score(each.value()))
                         .thenComparing(ZoneId::value))
@@ -92,7 +99,7 @@
         // The parts of a shard begin at different zones, so that no zone has both as long as there are two.
         for (int i = 0; i < zones.size(); i++) {
             ZoneId each = zones.get((i + claim.part()) % zones.size());
-            List<HostId> delegates = new ArrayList<>(ZoneDelegates.of(each, nodes, CANDIDATES_PER_ZONE));
+            List<HostId> delegates = new ArrayList<>(ZoneDelegates.of(each, knownNodes, CANDIDATES_PER_ZONE));
             if (zones.size() == 1) {
                 Collections.rotate(delegates, claim.part());
             }
--- a/core/src/main/java/org/trefoilledge/core/rate/RateClaim.java
+++ b/core/src/main/java/org/trefoilledge/core/rate/RateClaim.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.ZoneId;
 
@@ -21,11 +22,14 @@
     private static final String SHARD = "shard-";
     private static final String RESERVE = "reserve-";
 
+    private static final List<List<RateClaim>> PARTS_BY_SHARD = IntStream.range(0, SHARDS)
+            .mapToObj(number -> List.of(shard(number, 0), shard(number, 1)))
+            .toList();
+
     /** Returns the claims on the parts of an organisation's limit. */
     public static List<RateClaim> of(OrganisationId organisation) {
         long hash = Hashing.xxh3_64().hashCharsToLong(organisation.value());
-        int number = (int) Long.remainderUnsigned(hash, SHARDS);
-        return List.of(shard(number, 0), shard(number, 1));
+        return PARTS_BY_SHARD.get((int) Long.remainderUnsigned(hash, SHARDS));
     }
 
     /** Returns the claim on a part of a shard. */
@@ -59,4 +63,15 @@
     int part() {
         return name.charAt(name.length() - 1) - '0';
     }
+
+    // The generated methods of a record are slow in code that is not optimised yet, and claims are keys of many tables.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof RateClaim that && that.name.equals(name);
+    }
+
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -12,6 +12,7 @@
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.admission.AdmissionPlan;
+import org.trefoilledge.core.admission.NodeLoad;
 import org.trefoilledge.core.placement.Candidate;
 import org.trefoilledge.core.rate.ClaimPlan;
 import org.trefoilledge.core.rate.RateClaim;
@@ -98,7 +99,7 @@
                 collector,
                 configs,
                 clock,
-                traffic::nextLoad,
+                new TrafficLoad(),
                 new ReportEffects());
         upstreamWatch = new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis());
         shownUpstream = LocalUpstream.none(settings.service());
@@ -157,7 +158,7 @@
             return;
         }
         follow(reports.needsStore());
-        reports.report();
+        reports.tick();
         boolean mayClaim =
                 follower.isWatching() && !stopping && clock.millis() - followsSinceMillis >= FIRST_CLAIM_MILLIS;
         claims.tick(
@@ -271,6 +272,18 @@
         }
     }
 
+    private final class TrafficLoad implements NodeReports.Load {
+        @Override
+        public boolean pressing() {
+            return traffic.pressing();
+        }
+
+        @Override
+        public NodeLoad next() {
+            return traffic.nextLoad();
+        }
+    }
+
     private final class ReportEffects implements NodeReports.Effects {
         @Override
         public void planned(AdmissionPlan plan) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
@@ -49,6 +49,8 @@
     private Map<HostId, ZoneId> zones;
     private long version;
     private boolean complete;
+    /** Whether the tables of nodes are older than the members. */
+    private boolean outdated;
 
     /** Hears of each claim that has changed. */
     @FunctionalInterface
@@ -163,6 +165,7 @@
         }
         try {
             members.put(host, Member.of(change.item().get().value()));
+            outdated = true;
         } catch (IOException e) {
             LOG.warn("directory: ignored the entry of {}: {}", host, e.getMessage());
         }
@@ -188,7 +191,7 @@
 
     private void forget(HostId host) {
         store(new KeyValueStore.Change(NODES + host, Optional.empty()));
-        members.remove(host);
+        outdated |= members.remove(host) != null;
         vanishedSince.remove(host);
     }
 
@@ -231,6 +234,10 @@
     }
 
     private void show() {
+        if (!outdated) {
+            return;
+        }
+        outdated = false;
         Map<HostId, Member> next = new HashMap<>(members);
         next.remove(self);
         if (!next.equals(others)) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
@@ -131,6 +131,11 @@
         return meter.sample(slots, report().queueDelayMillis());
     }
 
+    /** Returns whether the load presses; may be called from any thread. */
+    boolean pressing() {
+        return meter.pressing();
+    }
+
     LoadReport report() {
         return guard.report(clock.millis());
     }
@@ -152,6 +157,9 @@
         Pending entry = new Pending(call, now, answered);
         pending.put(ticket, entry);
         perform(guard.offer(guarded(ticket, entry), now));
+        if (guard.running() < pending.size()) {
+            meter.queued();
+        }
         startTicker();
         return () -> cancel(ticket, entry);
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
@@ -21,6 +21,11 @@
 
     private static final double NEGLIGIBLE_PER_SECOND = 0.01;
 
+    /** Root requests since the last interval, as a multiple of what was usual, from which the load presses. */
+    private static final double SURGE = 2;
+    /** A few requests more than usual are no surge. */
+    private static final double SURGE_SLACK = 4;
+
     private final Clock clock;
     private final ServiceId service;
     private final CallRatios ratios = new CallRatios();
@@ -38,6 +43,10 @@
     private double busyAverage;
     private double waitAverage;
     private long intervalStart;
+    private double arrivedSum;
+    private double arrivalRate;
+    /** Read by the control thread. */
+    private volatile boolean pressing;
 
     LoadMeter(ServiceId service, Clock clock) {
         this.service = service;
@@ -49,6 +58,21 @@
     /** Counts a root request of a caller. */
     void arrived(RequestClass requests) {
         arrived.merge(requests, 1.0, Double::sum);
+        arrivedSum++;
+        double seconds = (double) (clock.millis() - intervalStart) / 1_000;
+        if (!pressing && arrivedSum > SURGE * arrivalRate * seconds + SURGE_SLACK) {
+            pressing = true;
+        }
+    }
+
+    /** Notes that calls wait for a slot. */
+    void queued() {
+        pressing = true;
+    }
+
+    /** Returns whether calls have waited or a surge has begun since the last interval; may be called from any thread. */
+    boolean pressing() {
+        return pressing;
     }
 
     /** Counts a call that the upstream makes. */
@@ -109,6 +133,10 @@
         double meanWait = waits == 0 ? 0 : waitSum / waits;
         double wait = Math.max(meanWait, (double) oldestWaitMillis / 2);
         waitAverage += (wait - waitAverage) * fresh;
+        arrivalRate =
+                arrivalRates.values().stream().mapToDouble(Double::doubleValue).sum();
+        arrivedSum = 0;
+        pressing = oldestWaitMillis > 0;
         arrived.clear();
         started.clear();
         ended.clear();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.Clock;
@@ -14,6 +13,7 @@
 import org.trefoilledge.core.ZoneId;
 import org.trefoilledge.core.admission.AdmissionPlan;
 import org.trefoilledge.core.admission.NodeLoad;
+import org.trefoilledge.core.admission.ReportPace;
 import org.trefoilledge.wire.generated.DirectoryEntry;
 import org.trefoilledge.wire.generated.StatusAnswer;
 import org.trefoilledge.wire.generated.StatusReport;
@@ -40,16 +40,27 @@
     private final ZoneCollector collector;
     private final ConfigFetch configs;
     private final Clock clock;
-    private final Supplier<NodeLoad> load;
+    private final Load load;
     private final Effects effects;
+    private final ReportPace pace = new ReportPace();
     private final Map<HostId, Long> silentUntil = new HashMap<>();
     private long directorySource;
     private long directoryVersion;
     private long toldMillis;
     private long answeredMillis = Long.MIN_VALUE / 2;
     private boolean awaitingAnswer;
+    private boolean limiting;
     private boolean needsStore;
 
+    /** The load of this node. */
+    interface Load {
+        /** Returns whether others should hear of it soon. */
+        boolean pressing();
+
+        /** Returns the load of the interval that ended last, and ends the present one. */
+        NodeLoad next();
+    }
+
     /** What follows from the answer of a collector. */
     interface Effects {
         void planned(AdmissionPlan plan);
@@ -68,7 +79,7 @@
             ZoneCollector collector,
             ConfigFetch configs,
             Clock clock,
-            Supplier<NodeLoad> load,
+            Load load,
             Effects effects) {
         this.self = self;
         this.zone = zone;
@@ -106,23 +117,34 @@
                 .orElse(self);
     }
 
-    /** Reports once. */
-    void report() {
+    /** Reports, unless the last report is still on its way or nothing presses. */
+    void tick() {
         long now = clock.millis();
         if (now - answeredMillis > OLD_PLAN_MILLIS) {
-            effects.planned(AdmissionPlan.ALL);
+            planned(AdmissionPlan.ALL);
+        }
+        if (!awaitingAnswer && pace.due(load.pressing(), limiting)) {
+            report(now);
         }
+    }
+
+    private void planned(AdmissionPlan plan) {
+        limiting = !plan.admitted().isEmpty();
+        effects.planned(plan);
+    }
+
+    private void report(long now) {
         HostId chosen = collector(now);
         StatusReport report = StatusReport.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis())
-                .setUpstream(LoadMessages.message(load.get()))
+                .setUpstream(LoadMessages.message(load.next()))
                 .setDirectorySource(directorySource)
                 .setDirectoryVersion(directoryVersion)
                 .build();
         if (chosen.equals(self)) {
             apply(collector.heard(self, report));
-        } else if (!awaitingAnswer) {
+        } else {
             send(directory.others().get(chosen), report);
         }
     }
@@ -148,7 +170,7 @@
 
     private void apply(StatusAnswer answer) {
         answeredMillis = clock.millis();
-        effects.planned(LoadMessages.plan(answer.getAdmittedList()));
+        planned(LoadMessages.plan(answer.getAdmittedList()));
         effects.silent(ZoneCollector.hosts(answer.getSilentHostsList()));
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
@@ -18,7 +18,7 @@
 import org.trefoilledge.core.routing.OrganisationPolicy;
 import org.trefoilledge.core.routing.RoutingConfig;
 
-/** What the control thread sets on the traffic thread. Every value that is handed over is immutable. */
+/** What the control thread sets on the traffic thread, which is woken only by changes. What is handed over is immutable. */
 final class TrafficPlane {
     private final EventLoop traffic;
     private final Gate gate;
@@ -28,6 +28,7 @@
     private final RateLimits limits;
     private final AdmissionGate admission;
     private volatile NodeLoad load;
+    private AdmissionPlan shownPlan = AdmissionPlan.ALL;
 
     TrafficPlane(
             EventLoop traffic,
@@ -65,7 +66,10 @@
     }
 
     void plan(AdmissionPlan plan) {
-        traffic.execute(() -> admission.plan(plan));
+        if (!plan.equals(shownPlan)) {
+            shownPlan = plan;
+            traffic.execute(() -> admission.plan(plan));
+        }
     }
 
     void configured(RoutingConfig config) {
@@ -96,6 +100,11 @@
         traffic.execute(() -> tokens.holders(holders));
     }
 
+    /** Returns whether calls wait here, or requests surge; wakes nobody. */
+    boolean pressing() {
+        return gate.pressing();
+    }
+
     /** Returns the load of the interval that ended last, and ends the present one. */
     NodeLoad nextLoad() {
         traffic.execute(() -> load = gate.sample());
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
@@ -16,6 +16,7 @@
 import org.trefoilledge.core.ZoneId;
 import org.trefoilledge.core.admission.AdmissionPlan;
 import org.trefoilledge.core.admission.NodeLoad;
+import org.trefoilledge.wire.generated.AdmittedPart;
 import org.trefoilledge.wire.generated.DirectoryEntry;
 import org.trefoilledge.wire.generated.StatusAnswer;
 import org.trefoilledge.wire.generated.StatusReport;
@@ -48,7 +49,8 @@
     private final Clock clock;
     private final ZoneLoads loads;
     private final Map<HostId, Long> silentUntil = new HashMap<>();
-    private AdmissionPlan plan = AdmissionPlan.ALL;
+    private List<AdmittedPart> admitted = List.of();
+    private List<String> silent = List.of();
     private long plannedMillis = Long.MIN_VALUE / 2;
     /** Whether this node follows the store itself, so that its directory can serve others. */
     private boolean watching;
@@ -94,11 +96,15 @@
         if (member != null) {
             configs.newer(member.peers(), report.getConfigVersion());
         }
+        if (now - plannedMillis >= PLAN_MILLIS) {
+            plannedMillis = now;
+            plan(now);
+        }
         StatusAnswer.Builder answer = StatusAnswer.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis())
-                .addAllAdmitted(LoadMessages.message(plan(now)));
-        loads.silent(directory.others(), now).forEach(host -> answer.addSilentHosts(host.value()));
+                .addAllAdmitted(admitted)
+                .addAllSilentHosts(silent);
         if (watching && directory.complete() && !from.equals(self)) {
             long known = report.getDirectorySource() == directorySource ? report.getDirectoryVersion() : 0;
             addDirectory(answer, directory.since(known));
@@ -106,12 +112,13 @@
         return answer.build();
     }
 
-    private AdmissionPlan plan(long now) {
-        if (now - plannedMillis >= PLAN_MILLIS) {
-            plannedMillis = now;
-            plan = knowledge.config().map(config -> loads.plan(config, now)).orElse(AdmissionPlan.ALL);
-        }
-        return plan;
+    private void plan(long now) {
+        AdmissionPlan plan =
+                knowledge.config().map(config -> loads.plan(config, now)).orElse(AdmissionPlan.ALL);
+        admitted = LoadMessages.message(plan);
+        silent = loads.silent(directory.others(), now).stream()
+                .map(HostId::value)
+                .toList();
     }
 
     private void addDirectory(StatusAnswer.Builder answer, Directory.Update update) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneLoads.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneLoads.java
@@ -19,7 +19,7 @@
  * for each service and the nodes that are silent there. Used on the control thread.
  */
 final class ZoneLoads {
-    /** Time after which the load of a node of the zone no longer counts; six intervals between its reports. */
+    /** Time after which the load of a node of the zone no longer counts; three of its reports while it is calm. */
     private static final long OLD_MILLIS = 1_500;
     /** Time after which a node of the zone counts as silent; a pause of a processor takes less. */
     private static final long SILENT_MILLIS = 1_200;
