--- a/core/src/main/java/org/trefoilledge/core/admission/ReportPace.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/ReportPace.java
@@ -10,7 +10,7 @@
     /**
      * Returns whether to report at this tick.
      *
-     * @param pressing whether calls wait here or many more requests arrive than before
+     * @param pressing whether calls wait here or find no upstream, or many more requests arrive than before
      * @param limiting whether the plan in force refuses requests
      */
     public boolean due(boolean pressing, boolean limiting) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -147,6 +147,7 @@
             long now = clock.millis();
             Optional<Candidate> placed = place(order.service(), used, now);
             if (placed.isEmpty()) {
+                gate.press();
                 end(Refusals.refusal(ErrorKind.NO_UPSTREAM, "no upstream of " + order.service() + " is left"));
                 return;
             }
@@ -264,6 +265,7 @@
         private void rest(CallAnswer outcome, long now) {
             if (!Refusals.is(outcome, ErrorKind.OVERLOADED)) {
                 restingUntil.put(host, now + RESTING_MILLIS);
+                gate.press();
             }
         }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Gate.java
@@ -131,6 +131,11 @@
         return meter.sample(slots, report().queueDelayMillis());
     }
 
+    /** Notes that calls of this node went to upstreams that take none; news of others is wanted soon. */
+    void press() {
+        meter.press();
+    }
+
     /** Returns whether the load presses; may be called from any thread. */
     boolean pressing() {
         return meter.pressing();
@@ -158,7 +163,7 @@
         pending.put(ticket, entry);
         perform(guard.offer(guarded(ticket, entry), now));
         if (guard.running() < pending.size()) {
-            meter.queued();
+            meter.press();
         }
         startTicker();
         return () -> cancel(ticket, entry);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
@@ -65,12 +65,12 @@
         }
     }
 
-    /** Notes that calls wait for a slot. */
-    void queued() {
+    /** Notes that calls wait for a slot or find no upstream. */
+    void press() {
         pressing = true;
     }
 
-    /** Returns whether calls have waited or a surge has begun since the last interval; may be called from any thread. */
+    /** Returns whether calls have waited or found no upstream, or a surge has begun since the last interval; may be called from any thread. */
     boolean pressing() {
         return pressing;
     }
