Send idempotent requests elsewhere when their node falls silent

Change: a newly silent node gives up the idempotent requests that wait for it, within the budget for repeats and the attempts of the route; one that may run only once waits on, because nobody knows whether it runs. Ruled out: calls that wait in a queue until their deadline; the guard refuses them one service time before it, as not run.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -50,6 +51,7 @@
     private double retryReserve;
     private Set<HostId> unreachable = Set.of();
     private final Set<String> callingRoutes = new HashSet<>();
+    private final Set<Attempts> open = new HashSet<>();
 
     Dispatcher(
             HostId self,
@@ -79,9 +81,13 @@
         }
     }
 
-    /** Sets the hosts whose nodes do not answer; they get requests only when no other host is left. */
+    /**
+     * Sets the hosts whose nodes do not answer. They get requests only when no other host is left, and idempotent requests
+     * that wait for one of them go to another host.
+     */
     void unreachable(Set<HostId> hosts) {
         unreachable = hosts;
+        List.copyOf(open).forEach(attempts -> attempts.leave(hosts));
     }
 
     /**
@@ -102,6 +108,7 @@
     Runnable dispatch(Order order, Consumer<CallAnswer> answered) {
         retries(order.service()).requestSent(clock.millis());
         Attempts attempts = new Attempts(order, answered);
+        open.add(attempts);
         attempts.next();
         return attempts::cancel;
     }
@@ -269,6 +276,27 @@
             }
         }
 
+        /** Goes on elsewhere if the host of the attempt is one of those; a request that may run once waits on. */
+        void leave(Set<HostId> silent) {
+            long now = clock.millis();
+            boolean waitsThere = silent.contains(host) && !host.equals(self);
+            boolean last = seenByUpstreams + 1 >= order.maxAttempts();
+            boolean time = order.deadlineMillis() - now >= LEAST_TIME_MILLIS;
+            if (!waitsThere || last || !time || !order.call().getIdempotent()) {
+                return;
+            }
+            if (!retries(order.service()).tryRetry(retryCost(), now)) {
+                return;
+            }
+            log.placed(order.requestId(), host.value(), attempt, "silent", now - attemptStarted);
+            mayHaveRun = true;
+            seenByUpstreams++;
+            used.add(host);
+            Runnable cancelSilent = cancelAttempt;
+            next();
+            cancelSilent.run();
+        }
+
         private void expire() {
             if (done) {
                 return;
@@ -287,6 +315,7 @@
 
         private void finish(CallAnswer answer) {
             done = true;
+            open.remove(this);
             deadline.cancel(false);
             answered.accept(answer);
         }
@@ -294,6 +323,7 @@
         void cancel() {
             if (!done) {
                 done = true;
+                open.remove(this);
                 deadline.cancel(false);
                 cancelAttempt.run();
             }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -212,6 +213,58 @@
         assertThat(cancelled.await(1, TimeUnit.SECONDS)).isTrue();
     }
 
+    /** Replays a node that is cut off while requests wait for it. */
+    @Test
+    void idempotentRequestsGoOnElsewhereWhenTheirNodeFallsSilent() throws Exception {
+        onTraffic(() -> dispatcher.retryBudget(0, 100));
+        answers(null, ok());
+        List<CompletableFuture<CallAnswer>> answers = startSeveral(true);
+        onTraffic(() -> dispatcher.unreachable(Set.of(new HostId("first"))));
+
+        for (CompletableFuture<CallAnswer> answer : answers) {
+            assertThat(answer.get(1, TimeUnit.SECONDS).getStatus()).isEqualTo(200);
+        }
+        assertThat(nodes.get(0).calls).isNotEmpty();
+        assertThat(nodes.get(1).calls).hasSize(answers.size());
+        assertThat(cancelled.await(1, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void aNonIdempotentRequestWaitsForItsSilentNode() throws Exception {
+        onTraffic(() -> dispatcher.retryBudget(0, 100));
+        answers(null, ok());
+        List<CompletableFuture<CallAnswer>> answers = startSeveral(false);
+        onTraffic(() -> dispatcher.unreachable(Set.of(new HostId("first"))));
+        Thread.sleep(200);
+
+        assertThat(calls()).isEqualTo(answers.size());
+        assertThat(answers.stream().filter(answer -> !answer.isDone()))
+                .hasSize(nodes.get(0).calls.size());
+    }
+
+    @Test
+    void requestsWaitForASilentNodeWhenTheBudgetOfTheFleetIsUsedUp() throws Exception {
+        onTraffic(() -> dispatcher.retryBudget(0, 1));
+        answers(null, ok());
+        List<CompletableFuture<CallAnswer>> answers = startSeveral(true);
+        onTraffic(() -> dispatcher.unreachable(Set.of(new HostId("first"))));
+        Thread.sleep(200);
+
+        assertThat(calls()).isEqualTo(answers.size() + 1);
+    }
+
+    private List<CompletableFuture<CallAnswer>> startSeveral(boolean idempotent) throws InterruptedException {
+        List<CompletableFuture<CallAnswer>> answers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            answers.add(start(order(idempotent, 2, 3_000)));
+        }
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (calls() < answers.size() && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+        return answers;
+    }
+
     @Test
     void callersThatLeaveDoNotMakeAHostSuspect() throws Exception {
         for (int i = 0; i < 20; i++) {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
@@ -41,6 +41,7 @@
     private static final ServiceId TRACKING = new ServiceId("tracking");
     /** A node that joins has to be known before the keys lapse, also on a busy machine. */
     private static final long REVOCATION_MILLIS = 5_000;
+
     private static final String CONFIG_KEY = "config";
     private static final int FIRST_PORT = 12_000;
     private static final int FIRST_SYSTEM_PORT = 32_768;
