Leave a silent node only while another one answers; wrap and rename for the reader

Found on rereading: a request that had no other node to go to was answered 502 at once, although its silent node might still answer. requestsWaitForASilentNodeWhenNoOtherOneAnswers fails without the check.

--- a/core/src/main/java/org/trefoilledge/core/admission/ReportPace.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/ReportPace.java
@@ -1,8 +1,8 @@
 package org.trefoilledge.core.admission;
 
 /**
- * Decides at which ticks a node reports its load. While nothing presses, every second tick is enough: each report wakes
- * two nodes several times, which is most of what a quiet fleet costs. Not thread-safe.
+ * Decides at which ticks a node reports its load. While nothing presses, every second tick is enough, because each report
+ * wakes two nodes several times. Not thread-safe.
  */
 public final class ReportPace {
     private boolean skipped;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
@@ -233,6 +233,7 @@
         return new Update(version, whole, changes);
     }
 
+    /** Makes the tables of nodes anew if members have changed. */
     private void show() {
         if (!outdated) {
             return;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -282,7 +282,7 @@
             boolean waitsThere = silent.contains(host) && !host.equals(self);
             boolean last = seenByUpstreams + 1 >= order.maxAttempts();
             boolean time = order.deadlineMillis() - now >= LEAST_TIME_MILLIS;
-            if (!waitsThere || last || !time || !order.call().getIdempotent()) {
+            if (!waitsThere || last || !time || !order.call().getIdempotent() || !elsewhere(now)) {
                 return;
             }
             if (!retries(order.service()).tryRetry(retryCost(), now)) {
@@ -297,6 +297,15 @@
             cancelSilent.run();
         }
 
+        /** Returns whether a host that answers is left besides those of this request. */
+        private boolean elsewhere(long now) {
+            Set<HostId> excluded = new HashSet<>(used);
+            excluded.add(host);
+            return place(order.service(), excluded, now)
+                    .filter(candidate -> !unreachable.contains(candidate.host()))
+                    .isPresent();
+        }
+
         private void expire() {
             if (done) {
                 return;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
@@ -70,7 +70,10 @@
         pressing = true;
     }
 
-    /** Returns whether calls have waited or found no upstream, or a surge has begun since the last interval; may be called from any thread. */
+    /**
+     * Returns whether, since the last interval ended, calls have waited or found no upstream, or a surge has begun. May be
+     * called from any thread.
+     */
     boolean pressing() {
         return pressing;
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
@@ -18,7 +18,7 @@
 import org.trefoilledge.core.routing.OrganisationPolicy;
 import org.trefoilledge.core.routing.RoutingConfig;
 
-/** What the control thread sets on the traffic thread, which is woken only by changes. What is handed over is immutable. */
+/** What the control thread sets on the traffic thread. Every value that is handed over is immutable. */
 final class TrafficPlane {
     private final EventLoop traffic;
     private final Gate gate;
@@ -65,6 +65,7 @@
         traffic.execute(() -> dispatcher.unreachable(hosts));
     }
 
+    /** Sets the plan; the same plan again wakes nobody. */
     void plan(AdmissionPlan plan) {
         if (!plan.equals(shownPlan)) {
             shownPlan = plan;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
@@ -96,10 +96,7 @@
         if (member != null) {
             configs.newer(member.peers(), report.getConfigVersion());
         }
-        if (now - plannedMillis >= PLAN_MILLIS) {
-            plannedMillis = now;
-            plan(now);
-        }
+        planIfDue(now);
         StatusAnswer.Builder answer = StatusAnswer.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis())
@@ -112,7 +109,12 @@
         return answer.build();
     }
 
-    private void plan(long now) {
+    /** Works out what all nodes are told: the plan and who is silent. */
+    private void planIfDue(long now) {
+        if (now - plannedMillis < PLAN_MILLIS) {
+            return;
+        }
+        plannedMillis = now;
         AdmissionPlan plan =
                 knowledge.config().map(config -> loads.plan(config, now)).orElse(AdmissionPlan.ALL);
         admitted = LoadMessages.message(plan);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -253,6 +253,18 @@
         assertThat(calls()).isEqualTo(answers.size() + 1);
     }
 
+    @Test
+    void requestsWaitForASilentNodeWhenNoOtherOneAnswers() throws Exception {
+        onTraffic(() -> dispatcher.retryBudget(0, 100));
+        answers(null, null);
+        List<CompletableFuture<CallAnswer>> answers = startSeveral(true);
+        onTraffic(() -> dispatcher.unreachable(Set.of(new HostId("first"), new HostId("second"))));
+        Thread.sleep(200);
+
+        assertThat(calls()).isEqualTo(answers.size());
+        assertThat(answers).noneMatch(CompletableFuture::isDone);
+    }
+
     private List<CompletableFuture<CallAnswer>> startSeveral(boolean idempotent) throws InterruptedException {
         List<CompletableFuture<CallAnswer>> answers = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
