--- a/core/src/test/java/org/trefoilledge/core/ModelChecker.java
+++ b/core/src/test/java/org/trefoilledge/core/ModelChecker.java
@@ -76,6 +76,8 @@
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-XX:+UseParallelGC",
                         "-Xmx1g",
+                        // TLC unpacks its standard modules there and removes them; another run may be at work.
+                        "-Djava.io.tmpdir=" + directory.toAbsolutePath(),
                         "-cp",
                         System.getProperty("java.class.path"),
                         "tlc2.TLC",
