Check that every due request of the repeat test has ended

Found on rereading: with the count of more than 40 repeats gone, a run that lost most of its requests would have passed. All 49 or 50 due requests must end, as in everyRequestIsAnsweredWhole, so the rule of the repeats covers every one of them.

--- a/load/src/test/java/org/trefoilledge/load/DriverTest.java
+++ b/load/src/test/java/org/trefoilledge/load/DriverTest.java
@@ -54,6 +54,7 @@
         Journal journal = run(node, "[retry]\nattempts = 2\ndelay_ms = 5\n");
         List<RootRequest> repeated =
                 journal.roots().stream().filter(root -> root.attempts() == 2).toList();
+        assertThat(journal.roots()).hasSizeBetween(49, 50);
         assertThat(repeated).isNotEmpty().allMatch(RootRequest::whole);
         // All requests but those that are refused after the end of the run are repeated.
         assertThat(journal.roots().stream().filter(root -> root.attempts() == 1))
