--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -107,10 +107,11 @@
      * @return an action that cancels the request
      */
     Runnable dispatch(DispatchRequest request, Consumer<CallAnswer> onAnswer) {
-        retryBudgets(request.service()).recordRequest(clock.millis());
-        InFlightRequest sending = new InFlightRequest(request, onAnswer);
+        long now = clock.millis();
+        retryBudgets(request.service()).recordRequest(now);
+        InFlightRequest sending = new InFlightRequest(request, onAnswer, now);
         inFlight.add(sending);
-        sending.startNextAttempt();
+        sending.startNextAttempt(now);
         return sending::cancel;
     }
 
@@ -147,15 +148,14 @@
         private long attemptStartMillis;
         private Runnable cancelAttempt = () -> {};
 
-        InFlightRequest(DispatchRequest request, Consumer<CallAnswer> onAnswer) {
+        InFlightRequest(DispatchRequest request, Consumer<CallAnswer> onAnswer, long now) {
             this.request = request;
             this.onAnswer = onAnswer;
-            long remainingMillis = Math.max(0, request.deadlineMillis() - clock.millis());
+            long remainingMillis = Math.max(0, request.deadlineMillis() - now);
             this.deadlineTimer = trafficLoop.schedule(this::expire, remainingMillis, TimeUnit.MILLISECONDS);
         }
 
-        void startNextAttempt() {
-            long now = clock.millis();
+        void startNextAttempt(long now) {
             Optional<Candidate> selected = selectCandidate(request.service(), triedHosts, now);
             if (selected.isEmpty()) {
                 gate.markUnderPressure();
@@ -255,9 +255,9 @@
                 uncountedRetriesLeft -=
                         Refusals.isRefusal(outcome, ErrorKind.OVERLOADED) ? MAX_UNCOUNTED_RETRIES / 2 : 1;
                 backOffHost(outcome, now);
-                startNextAttempt();
+                startNextAttempt(now);
             } else if (retryBudgets(request.service()).tryRetry(retryCost(), now)) {
-                startNextAttempt();
+                startNextAttempt(now);
             } else {
                 complete(outcome);
             }
@@ -314,7 +314,7 @@
             countedAttempts++;
             triedHosts.add(attemptHost);
             Runnable cancelPrevious = cancelAttempt;
-            startNextAttempt();
+            startNextAttempt(now);
             cancelPrevious.run();
         }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/PeerLinks.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/PeerLinks.java
@@ -88,13 +88,13 @@
     record Reply(CallAnswer answer, boolean sent) {}
 
     /**
-     * Sends a call to a peer; its deadline is the timeout.
+     * Sends a call to a peer. The call has no timeout of its own: the sender cancels it at its deadline.
      *
      * @return cancels the call at the peer
      */
     Runnable sendCall(String address, Call call, Consumer<Reply> onReply) {
         Envelope request = Envelope.newBuilder().setCall(call).build();
-        CompletableFuture<Envelope> answer = transport.sendRequest(address, request, call.getDeadlineMillis());
+        CompletableFuture<Envelope> answer = transport.sendRequest(address, request);
         var unused = answer.whenComplete((envelope, error) -> onReply.accept(toReply(envelope, error)));
         return () -> transport.cancel(answer);
     }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
@@ -51,6 +52,7 @@
     private final EventLoopGroup trafficGroup = new MultiThreadIoEventLoopGroup(1, SocketTransport.ioHandlerFactory());
     private final List<PeerNode> nodes = new ArrayList<>();
     private final CountDownLatch cancelled = new CountDownLatch(1);
+    private Placer placer;
     private Dispatcher dispatcher;
 
     /** A node that records its calls and gives them a preset answer, or none if it is null. */
@@ -108,9 +110,12 @@
         nodes.add(new PeerNode("first"));
         nodes.add(new PeerNode("second"));
         nodes.add(self);
-        Placer placer = new Placer(SELF, ZONE, PlacementSettings.defaults(SELF));
+        placer = new Placer(SELF, ZONE, PlacementSettings.defaults(SELF));
         placer.updateCandidates(List.of(nodes.get(0).candidate, nodes.get(1).candidate));
-        Clock clock = Clock.system();
+        dispatcher = createDispatcher(self.links, Clock.system());
+    }
+
+    private Dispatcher createDispatcher(PeerLinks links, Clock clock) {
         UpstreamPool pool = new UpstreamPool(
                 trafficGroup,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
@@ -120,9 +125,10 @@
         EventLoop loop = (EventLoop) trafficGroup.next();
         UpstreamGate gate =
                 new UpstreamGate(loop, pool, LocalUpstream.none(ORDERS), new LoadMeter(ORDERS, clock), clock);
-        dispatcher = new Dispatcher(
-                SELF, gate, self.links, placer, loop, clock, new DecisionLog(clock), RandomGenerator.getDefault());
-        dispatcher.setRetryBudget(0.2, 10);
+        Dispatcher created = new Dispatcher(
+                SELF, gate, links, placer, loop, clock, new DecisionLog(clock), RandomGenerator.getDefault());
+        created.setRetryBudget(0.2, 10);
+        return created;
     }
 
     @AfterEach
@@ -215,6 +221,25 @@
         assertThat(cancelled.await(1, TimeUnit.SECONDS)).isTrue();
     }
 
+    /** The clock advances by 50 ms per reading, so less time seems to be left to the second attempt than there is. */
+    @Test
+    void retriedRequestTimesOutAtItsDeadline() throws Exception {
+        AtomicLong readings = new AtomicLong();
+        PeerNode self = nodes.get(2);
+        dispatcher = createDispatcher(self.links, () -> Clock.system().millis() + 50 * readings.getAndIncrement());
+        setAnswers(null, Refusals.refusal(ErrorKind.DRAINING, "leaving"));
+        placer.updateCandidates(List.of(nodes.get(1).candidate));
+        Dispatcher.DispatchRequest request = request(true, 2, 600);
+        CompletableFuture<CallAnswer> answer = new CompletableFuture<>();
+        runOnTrafficLoop(() -> {
+            dispatcher.dispatch(request, answer::complete);
+            placer.updateCandidates(List.of(nodes.get(0).candidate));
+        });
+
+        assertThat(answer.get(2, TimeUnit.SECONDS).getStatus()).isEqualTo(504);
+        assertThat(nodes.get(0).calls).hasSize(1);
+    }
+
     /** A node becomes unreachable, for example by a network partition, while requests wait for its answers. */
     @Test
     void retriesIdempotentRequestsWhenTheirHostBecomesUnreachable() throws Exception {
--- a/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
@@ -83,8 +83,10 @@
             reroute(request);
             return;
         }
-        request.timer(
-                eventLoop.schedule(() -> expire(request), Math.max(0, request.remainingNanos()), TimeUnit.NANOSECONDS));
+        if (request.timesOut()) {
+            long remainingNanos = Math.max(0, request.remainingNanos());
+            request.timer(eventLoop.schedule(() -> expire(request), remainingNanos, TimeUnit.NANOSECONDS));
+        }
         if (peer() == null) {
             unsentRequests.add(request);
         } else {
--- a/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
@@ -99,10 +99,21 @@
      */
     public CompletableFuture<Envelope> sendRequest(String address, Envelope request, long timeoutMillis) {
         PendingRequest pending = new PendingRequest(address, request, timeoutMillis);
+        if (timeoutMillis <= 0) {
+            pending.fail("no time left");
+            return pending;
+        }
+        return submitIfWithinBound(pending);
+    }
+
+    /** Sends a request that does not time out: its sender must {@link #cancel} it if no response arrives in time. */
+    public CompletableFuture<Envelope> sendRequest(String address, Envelope request) {
+        return submitIfWithinBound(new PendingRequest(address, request, PendingRequest.NO_TIMEOUT));
+    }
+
+    private PendingRequest submitIfWithinBound(PendingRequest pending) {
         if (pending.frameBytes() > settings.maxFrameBytes()) {
             pending.fail("request of " + pending.frameBytes() + " bytes exceeds the frame bound");
-        } else if (timeoutMillis <= 0) {
-            pending.fail("no time left");
         } else {
             submit(pending);
         }
--- a/wire/src/main/java/org/trefoilledge/wire/PendingRequest.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PendingRequest.java
@@ -10,9 +10,13 @@
     /** Upper bound for the encoded stream id, which is added when the request is sent. */
     private static final int MAX_STREAM_ID_BYTES = 11;
 
+    /** Timeout of a request that its sender cancels. */
+    static final long NO_TIMEOUT = Long.MAX_VALUE;
+
     private final String address;
     private final Envelope request;
     private final int frameBytes;
+    private final boolean timesOut;
     private final long deadlineNanos;
     private volatile OutgoingConnection connection;
 
@@ -25,7 +29,8 @@
         this.address = address;
         this.request = request;
         this.frameBytes = FrameEncoder.frameBytes(request) + MAX_STREAM_ID_BYTES;
-        this.deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        this.timesOut = timeoutMillis != NO_TIMEOUT;
+        this.deadlineNanos = timesOut ? System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis) : 0;
     }
 
     String address() {
@@ -36,6 +41,10 @@
         return frameBytes;
     }
 
+    boolean timesOut() {
+        return timesOut;
+    }
+
     long remainingNanos() {
         return deadlineNanos - System.nanoTime();
     }
