Replace a silent peer connection also when its requests are cancelled

Cause: a connection on which nothing arrives was replaced only when a request's own timeout ran out. The dispatcher's deadline timer always ran out first and cancelled the request, so calls never replaced a connection that had fallen silent; later calls waited for their whole deadline. Change: a cancelled request that has no answer counts like one that timed out. Result: the new test fails without the change (the connection stays open) and passes with it.

--- a/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
@@ -141,7 +141,7 @@
 
     /**
      * Sends no new requests on a connection on which nothing arrives. After a partition, TCP may take minutes to
-     * retransmit, whereas a new connection opens within a second.
+     * retransmit, whereas a new connection opens within a second. Called when a request ends without a response.
      */
     private void retireIfStalled() {
         long silentMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silentSinceNanos);
@@ -177,7 +177,9 @@
         if (unsentRequests.remove(request)) {
             releaseBytes(request);
         }
-        openRequests.remove(request.streamId());
+        if (openRequests.remove(request.streamId()) != null) {
+            retireIfStalled();
+        }
         if (unanswered && request.streamId() != 0) {
             sendCancel(request.streamId());
         }
--- a/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
@@ -272,6 +272,21 @@
         client.sendRequest(server.address(), call("/"), 5_000).get();
     }
 
+    /** A sender that cancels its requests at their deadlines ends them before their own timeouts do. */
+    @Test
+    void stalledConnectionIsReplacedWhenItsRequestsAreCancelled() throws Exception {
+        PeerTransport server = startTransport("b", 1, PeerTestSupport.ECHO);
+        PeerTransport client = startTransport("a", 1, PeerTestSupport.SILENT, SETTINGS.withTimeouts(300, 60_000, 100));
+        client.sendRequest(server.address(), call("/"), 5_000).get();
+        server.setBlocked(peer -> true);
+        CompletableFuture<Envelope> unanswered = client.sendRequest(server.address(), call("/"), 5_000);
+        Thread.sleep(150);
+        client.cancel(unanswered);
+        await(() -> client.openConnections() == 0);
+        server.setBlocked(peer -> false);
+        client.sendRequest(server.address(), call("/"), 5_000).get();
+    }
+
     @Test
     void idleConnectionIsClosedAndOpenedAgainOnDemand() throws Exception {
         PeerTransport server = startTransport("b", 1, PeerTestSupport.ECHO);
