Remove expired tokens from the front, parse Keep-Alive without splitting, skip the power of a zero failure rate

Cause, by perf on two sidecars under load: 5% of the traffic threads' time went to scanning all tokens of an organisation for each request, 1% to compiling a pattern for each answer of an upstream. Result: not measured alone.

--- a/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
@@ -27,6 +27,9 @@
 
     private record FailureRate(double value, long updatedMillis) {
         double decayedValue(long now) {
+            if (value == 0) {
+                return 0;
+            }
             return value * Math.pow(2, -(double) Math.max(0, now - updatedMillis) / FAILURE_RATE_HALF_LIFE_MILLIS);
         }
     }
--- a/core/src/main/java/org/trefoilledge/core/rate/TokenPool.java
+++ b/core/src/main/java/org/trefoilledge/core/rate/TokenPool.java
@@ -61,7 +61,10 @@
         demandPerMilli *= Math.exp(-elapsed / DEMAND_AVERAGE_MILLIS);
     }
 
+    /** Removes expired tokens from the front; tokens are queued in the order of their expiry. */
     private void removeExpired(long now) {
-        tokens.removeIf(token -> now >= token.expiresMillis());
+        while (!tokens.isEmpty() && now >= tokens.peekFirst().expiresMillis()) {
+            tokens.pollFirst();
+        }
     }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -22,6 +22,8 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.ErrorKind;
@@ -38,6 +40,7 @@
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Logger LOG = LoggerFactory.getLogger(UpstreamConnection.class);
     private static final long MILLIS_PER_SECOND = 1_000;
+    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})(?![0-9])");
     /** Limit of the bytes read before the head of a response is complete. The decoder limits the head itself. */
     private static final long MAX_BYTES_BEFORE_HEAD = 64 * 1024;
     /** Limit of skipped responses per request: interim responses, and late responses to other requests. */
@@ -307,12 +310,11 @@
     /** Returns the timeout of the Keep-Alive header in milliseconds, or the maximum value if absent or invalid. */
     private static long parseKeepAliveTimeout(HttpResponse response) {
         String keepAlive = response.headers().get("Keep-Alive");
-        int start = keepAlive == null ? -1 : keepAlive.indexOf("timeout=");
-        if (start < 0) {
+        if (keepAlive == null) {
             return Long.MAX_VALUE;
         }
-        String digits = keepAlive.substring(start + "timeout=".length()).split("[^0-9]", 2)[0];
-        return digits.isEmpty() || digits.length() > 6 ? Long.MAX_VALUE : Long.parseLong(digits) * MILLIS_PER_SECOND;
+        Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(keepAlive);
+        return matcher.find() ? Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND : Long.MAX_VALUE;
     }
 
     private void fail(String reason) {
