Leave the own zone at 0.88 of its slots, and only for an upstream that is clearly less loaded

Change: spillover at 0.88, and a gain of at least 0.1.

Tried with it and not kept: upstreams report the load of the services that they call in their zone, so that whole trees leave rather than single calls.

--- a/core/src/main/java/org/trefoilledge/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/PlacementSettings.java
@@ -41,7 +41,7 @@
     /** Returns the default settings for the node on the given host, with all mechanisms enabled. */
     public static PlacementSettings defaults(HostId host) {
         long seed = Hashing.xxh3_64().hashCharsToLong(host.value());
-        return new PlacementSettings(true, true, 20, seed, 0.8, 2, 1_000, 30_000, 1_000);
+        return new PlacementSettings(true, true, 20, seed, 0.88, 2, 1_000, 30_000, 1_000);
     }
 
     /** Returns a copy with two random choices and ejection enabled or disabled. */
--- a/core/src/main/java/org/trefoilledge/core/placement/Placer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Placer.java
@@ -21,6 +21,8 @@
 public final class Placer {
     /** Estimated load up to which the upstream on the local host is preferred; no call waits for a slot there. */
     private static final double MAX_LOCAL_HOST_LOAD = 0.5;
+    /** Load by which an upstream of another zone must be below the local one, so that zones do not swap their calls. */
+    private static final double MIN_LOAD_GAIN = 0.1;
 
     private final HostId localHost;
     private final ZoneId localZone;
@@ -128,7 +130,7 @@
         }
         Upstream other = pickLessLoaded(candidates.otherZones, excluded, false, now, random);
         if (local != null) {
-            return other != null && other.load(now) < local.load(now) ? other : local;
+            return other != null && other.load(now) < local.load(now) - MIN_LOAD_GAIN ? other : local;
         }
         if (other != null) {
             return other;
