--- a/core/src/test/java/org/trefoilledge/core/placement/CallTreeReplay.java
+++ b/core/src/test/java/org/trefoilledge/core/placement/CallTreeReplay.java
@@ -148,12 +148,14 @@
         long started = now;
         Zone target = place(callerZone.callerPlacer, ORDERS);
         target.ordersRunning++;
-        schedule(travelMillis(callerZone, target), () -> callStock(target, CALLS_PER_TREE, () -> {
-            target.ordersRunning--;
-            end(callerZone.callerPlacer, target.orders, target.ordersLoad());
-            trees++;
-            treeMillis += now - started;
-        }));
+        schedule(
+                travelMillis(callerZone, target),
+                () -> callStock(target, CALLS_PER_TREE, () -> {
+                    target.ordersRunning--;
+                    end(callerZone.callerPlacer, target.orders, target.ordersLoad());
+                    trees++;
+                    treeMillis += now - started;
+                }));
     }
 
     private void callStock(Zone from, int callsLeft, Runnable whenDone) {
@@ -162,10 +164,12 @@
             return;
         }
         Zone target = place(from.ordersPlacer, STOCK);
-        schedule(travelMillis(from, target), () -> target.offerStockCall(() -> {
-            end(from.ordersPlacer, target.stock, target.stockLoad());
-            callStock(from, callsLeft - 1, whenDone);
-        }));
+        schedule(
+                travelMillis(from, target),
+                () -> target.offerStockCall(() -> {
+                    end(from.ordersPlacer, target.stock, target.stockLoad());
+                    callStock(from, callsLeft - 1, whenDone);
+                }));
     }
 
     private Zone place(Placer placer, ServiceId service) {
