Processor time: flush and close idle peer connections without two handlers in the pipeline

Cause: every message between hosts passed IdleStateHandler and FlushConsolidationHandler, each of which wraps promises or submits tasks for it. Change: the connection itself flushes once an iteration of the event loop, and checks by a flag whether it was used since the last check. An unused connection closes after one to two idle times; the accepting side waits three, so that the opening side still closes first.

--- a/wire/src/main/java/org/trefoilledge/wire/IncomingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/IncomingConnection.java
@@ -22,8 +22,11 @@
     private long lastStreamId;
     private long unwrittenBytes;
 
+    /** The peer opened the connection and must close it first, or it could send a request while this side closes. */
+    private static final long IDLE_FACTOR = 3;
+
     IncomingConnection(PeerTransport transport) {
-        super(transport);
+        super(transport, IDLE_FACTOR * transport.settings().idleMillis());
     }
 
     @Override
@@ -102,7 +105,7 @@
             closeInEventLoop("the peer does not read its responses");
             return;
         }
-        channel().writeAndFlush(envelope).addListener(future -> unwrittenBytes -= bytes);
+        write(envelope).addListener(future -> unwrittenBytes -= bytes);
     }
 
     /** Stops reading requests while the peer does not read its responses and too many response bytes are unwritten. */
--- a/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/OutgoingConnection.java
@@ -31,7 +31,7 @@
     private long silentSinceNanos;
 
     OutgoingConnection(PeerTransport transport, String address, EventLoop eventLoop) {
-        super(transport);
+        super(transport, transport.settings().idleMillis());
         this.address = address;
         this.eventLoop = eventLoop;
     }
@@ -116,7 +116,7 @@
             releaseBytes(request);
             return;
         }
-        channel().writeAndFlush(envelope).addListener(future -> onWritten(request, future.cause()));
+        write(envelope).addListener(future -> onWritten(request, future.cause()));
     }
 
     private void onWritten(PendingRequest request, Throwable cause) {
--- a/wire/src/main/java/org/trefoilledge/wire/PeerConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerConnection.java
@@ -1,11 +1,11 @@
 package org.trefoilledge.wire;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -17,14 +17,24 @@
     private static final Logger LOG = LoggerFactory.getLogger(PeerConnection.class);
 
     private final PeerTransport transport;
+    private final long idleMillis;
+    private final Runnable flush = this::flush;
     private volatile Channel channel;
     private volatile PeerIdentity peer;
     private String closeReason;
     private ScheduledFuture<?> handshakeTimer;
-
-    PeerConnection(PeerTransport transport) {
+    private ScheduledFuture<?> idleTimer;
+    private boolean usedSinceIdleCheck;
+    private boolean flushScheduled;
+
+    /**
+     * @param idleMillis time without a message and an open request after which the connection is closed, at the latest
+     *     after twice this time
+     */
+    PeerConnection(PeerTransport transport, long idleMillis) {
         super(Envelope.class);
         this.transport = transport;
+        this.idleMillis = idleMillis;
     }
 
     /** Called once when the peer's identity has been received. */
@@ -80,7 +90,23 @@
 
     /** Writes a message and closes the connection if that fails. */
     void writeOrClose(Envelope envelope) {
-        channel.writeAndFlush(envelope).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        write(envelope).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Writes a message. All messages of one iteration of the event loop are flushed together. */
+    ChannelFuture write(Envelope envelope) {
+        usedSinceIdleCheck = true;
+        ChannelFuture written = channel.write(envelope);
+        if (!flushScheduled) {
+            flushScheduled = true;
+            channel.eventLoop().execute(flush);
+        }
+        return written;
+    }
+
+    private void flush() {
+        flushScheduled = false;
+        channel.flush();
     }
 
     @Override
@@ -97,6 +123,20 @@
                         () -> closeInEventLoop("no identity within " + timeout + " ms"),
                         timeout,
                         TimeUnit.MILLISECONDS);
+        scheduleIdleCheck();
+    }
+
+    private void scheduleIdleCheck() {
+        idleTimer = channel.eventLoop().schedule(this::closeIfIdle, idleMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIfIdle() {
+        if (!usedSinceIdleCheck && !hasPendingRequests()) {
+            closeInEventLoop("idle");
+            return;
+        }
+        usedSinceIdleCheck = false;
+        scheduleIdleCheck();
     }
 
     @Override
@@ -104,6 +144,7 @@
         transport.closed(this);
         if (handshakeTimer != null) {
             handshakeTimer.cancel(false);
+            idleTimer.cancel(false);
         }
         onClosed(closeReason == null ? "the peer closed the connection" : closeReason);
     }
@@ -114,6 +155,7 @@
         if (closeReason != null) {
             return;
         }
+        usedSinceIdleCheck = true;
         if (envelope.hasHello()) {
             completeHandshake(PeerIdentity.fromHello(envelope.getHello()));
         } else if (peer == null) {
@@ -136,13 +178,6 @@
         onEstablished();
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent && !hasPendingRequests()) {
-            closeInEventLoop("idle");
-        }
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         Throwable root = cause instanceof DecoderException && cause.getCause() != null ? cause.getCause() : cause;
--- a/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
@@ -10,8 +10,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.flush.FlushConsolidationHandler;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
@@ -39,8 +37,6 @@
     /** An incoming connection stops reading above 1 MiB of unwritten responses and resumes below 256 KiB. */
     private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
             new WriteBufferWaterMark(256 * 1024, 1024 * 1024);
-    /** Maximum number of frames that are flushed together in one system call. */
-    private static final int MAX_UNFLUSHED_FRAMES = 64;
 
     private final PeerIdentity self;
     private final PeerHandler handler;
@@ -286,7 +282,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
-                .handler(createInitializer(() -> connection, settings.idleMillis()))
+                .handler(createInitializer(() -> connection))
                 .connect(target)
                 .addListener(future -> handleConnectResult(connection, future.cause()));
     }
@@ -307,9 +303,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARK)
-                // The idle timeout is twice that of the peer, which opened the connection and must close it first:
-                // otherwise the peer could send a request while the connection is closing.
-                .childHandler(createInitializer(() -> new IncomingConnection(this), 2L * settings.idleMillis()))
+                .childHandler(createInitializer(() -> new IncomingConnection(this)))
                 .bind(PeerAddress.parse(settings.listen()))
                 .awaitUninterruptibly();
         if (!bind.isSuccess()) {
@@ -321,13 +315,11 @@
         return bind.channel();
     }
 
-    private ChannelInitializer<SocketChannel> createInitializer(Supplier<PeerConnection> connection, long idleMillis) {
+    private ChannelInitializer<SocketChannel> createInitializer(Supplier<PeerConnection> connection) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
-                        .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
-                        .addLast(new FlushConsolidationHandler(MAX_UNFLUSHED_FRAMES, true))
                         .addLast(new FrameDecoder(settings.maxFrameBytes(), counters))
                         .addLast(new FrameEncoder(counters))
                         .addLast(connection.get());
