--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -120,7 +120,9 @@
     }
 
     private Optional<Candidate> selectCandidate(ServiceId service, Set<HostId> triedHosts, long now) {
-        backoffUntilMillis.values().removeIf(until -> now >= until);
+        if (!backoffUntilMillis.isEmpty()) {
+            backoffUntilMillis.values().removeIf(until -> now >= until);
+        }
         if (backoffUntilMillis.isEmpty() && unreachableHosts.isEmpty()) {
             return placer.place(service, triedHosts, now, random);
         }
