--- a/core/src/main/java/org/trefoilledge/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/PlacementSettings.java
@@ -26,6 +26,9 @@
         long initialEjectionMillis,
         long maxEjectionMillis,
         long maxReportAgeMillis) {
+    /** Below 0.9, so that calls leave a zone whose upstream of ten slots has one slot left. */
+    private static final double DEFAULT_SPILLOVER_LOAD = 0.88;
+
     /** Checks that sizes and times are in range. */
     public PlacementSettings {
         requirePositive("subset size", subsetSize);
@@ -41,7 +44,7 @@
     /** Returns the default settings for the node on the given host, with all mechanisms enabled. */
     public static PlacementSettings defaults(HostId host) {
         long seed = Hashing.xxh3_64().hashCharsToLong(host.value());
-        return new PlacementSettings(true, true, 20, seed, 0.88, 2, 1_000, 30_000, 1_000);
+        return new PlacementSettings(true, true, 20, seed, DEFAULT_SPILLOVER_LOAD, 2, 1_000, 30_000, 1_000);
     }
 
     /** Returns a copy with two random choices and ejection enabled or disabled. */
--- a/wire/src/main/java/org/trefoilledge/wire/IncomingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/IncomingConnection.java
@@ -18,13 +18,16 @@
      */
     private static final long RESPONSE_BYTES_FACTOR = 4;
 
+    /**
+     * Idle time as a multiple of that of the peer, which closes after at most twice its own. The peer opened the connection
+     * and must close it first: otherwise it could send a request while this side closes.
+     */
+    private static final long IDLE_FACTOR = 3;
+
     private final Set<Long> openStreams = new HashSet<>();
     private long lastStreamId;
     private long unwrittenBytes;
 
-    /** The peer opened the connection and must close it first, or it could send a request while this side closes. */
-    private static final long IDLE_FACTOR = 3;
-
     IncomingConnection(PeerTransport transport) {
         super(transport, IDLE_FACTOR * transport.settings().idleMillis());
     }
