--- a/wire/src/main/java/org/trefoilledge/wire/TransportSettings.java
+++ b/wire/src/main/java/org/trefoilledge/wire/TransportSettings.java
@@ -8,9 +8,9 @@
  * @param maxUnwrittenBytes maximum number of request bytes that wait to be written to one connection; for responses
  *     the bound is four times as large
  * @param connectTimeoutMillis timeout for opening a connection, and again for receiving the peer's identity
- * @param idleMillis time after which an unused outgoing connection is closed
- * @param stallMillis time without a response after which a request that times out retires its connection; a retired
- *     connection receives no new requests
+ * @param idleMillis time after which an unused outgoing connection is closed, at the latest after twice this time
+ * @param stallMillis time without a response after which a request that times out or is cancelled retires its
+ *     connection; a retired connection receives no new requests
  * @param threads number of network threads
  */
 public record TransportSettings(
--- a/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/PeerTransportTest.java
@@ -261,27 +261,33 @@
 
     /** Guards against use of a connection that stays silent after a partition until TCP retransmits, minutes later. */
     @Test
-    void stalledConnectionIsReplaced() throws Exception {
-        PeerTransport server = startTransport("b", 1, PeerTestSupport.ECHO);
-        PeerTransport client = startTransport("a", 1, PeerTestSupport.SILENT, SETTINGS.withTimeouts(300, 60_000, 100));
-        client.sendRequest(server.address(), call("/"), 5_000).get();
-        server.setBlocked(peer -> true);
-        awaitFailure(client.sendRequest(server.address(), call("/"), 150));
-        await(() -> client.openConnections() == 0);
-        server.setBlocked(peer -> false);
-        client.sendRequest(server.address(), call("/"), 5_000).get();
+    void stalledConnectionIsReplacedWhenARequestTimesOut() throws Exception {
+        assertStalledConnectionIsReplacedAfter(
+                (client, address) -> awaitFailure(client.sendRequest(address, call("/"), 150)));
     }
 
-    /** A sender that cancels its requests at their deadlines ends them before their own timeouts do. */
+    /** A sender that cancels its requests at their deadlines ends them before a timeout does. */
     @Test
-    void stalledConnectionIsReplacedWhenItsRequestsAreCancelled() throws Exception {
+    void stalledConnectionIsReplacedWhenARequestIsCancelled() throws Exception {
+        assertStalledConnectionIsReplacedAfter((client, address) -> {
+            CompletableFuture<Envelope> unanswered = client.sendRequest(address, call("/"));
+            Thread.sleep(150);
+            client.cancel(unanswered);
+        });
+    }
+
+    /** Sends a request to a peer that does not answer, and ends it after 150 ms. */
+    @FunctionalInterface
+    private interface UnansweredRequest {
+        void run(PeerTransport client, String address) throws Exception;
+    }
+
+    private void assertStalledConnectionIsReplacedAfter(UnansweredRequest request) throws Exception {
         PeerTransport server = startTransport("b", 1, PeerTestSupport.ECHO);
         PeerTransport client = startTransport("a", 1, PeerTestSupport.SILENT, SETTINGS.withTimeouts(300, 60_000, 100));
         client.sendRequest(server.address(), call("/"), 5_000).get();
         server.setBlocked(peer -> true);
-        CompletableFuture<Envelope> unanswered = client.sendRequest(server.address(), call("/"), 5_000);
-        Thread.sleep(150);
-        client.cancel(unanswered);
+        request.run(client, server.address());
         await(() -> client.openConnections() == 0);
         server.setBlocked(peer -> false);
         client.sendRequest(server.address(), call("/"), 5_000).get();
