--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -339,6 +339,15 @@
             startSidecar(false);
         }
 
+        /** Kills the sidecar without a signal that it could handle, and starts it again. */
+        void killAndStart() throws Exception {
+            note("%s: SIGKILL to process %d", name, process.pid());
+            stopping = true;
+            process.destroyForcibly().waitFor();
+            pause(0.3);
+            startSidecar(false);
+        }
+
         void kill() {
             if (process != null && process.isAlive()) {
                 stopping = true;
