--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -425,7 +425,7 @@
 
     /**
      * A back end: runs as many requests at once as it has slots and queues the others. Its path says how long it works
-     * and how long its answer is: /HOST/jobs/MILLIS/BYTES.
+     * and how long its answer is: /jobs/NAME/MILLIS/BYTES.
      */
     static final class Backend {
         final String id;
