--- a/review/src/RestartForgetsLeaving.java
+++ b/review/src/RestartForgetsLeaving.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Restarts the sidecar of a back end that has announced its end, and checks that the back end gets no new requests. */
+/** Restarts the sidecar of a back end that has announced its end (once as planned, or twice by a kill), and checks that the back end gets no new requests. */
 final class RestartForgetsLeaving {
     private static final double CONTACT_S = 3;
     private static final int CLIENTS = 6;
@@ -16,10 +16,11 @@
     private RestartForgetsLeaving() {}
 
     public static void main(String[] arguments) {
-        Lab.main(arguments[0], List.of("za", "zb"), RestartForgetsLeaving::run);
+        boolean kills = arguments.length > 1 && arguments[1].equals("kills");
+        Lab.main(arguments[0], List.of("za", "zb"), lab -> run(lab, kills));
     }
 
-    private static List<String> run(Lab lab) throws Exception {
+    private static List<String> run(Lab lab, boolean kills) throws Exception {
         lab.operatorWrites("""
                 {"version":7,"routes":{"r-log":{"host":"log.example","path_prefix":"/work/","kind":"unsafe",
                 "timeout_s":6,"target_latency_s":1.5,"priority":0,"service":"supply","max_attempts":2,"public":false}},
@@ -52,7 +53,13 @@
         double arrival = confirmed + 5.2;
         if (lab.trouble) {
             Lab.pause(0.3);
-            leaving.stopAndStart();
+            if (kills) {
+                leaving.killAndStart();
+                Lab.pause(2.5);
+                leaving.killAndStart();
+            } else {
+                leaving.stopAndStart();
+            }
             while (!leaving.isReady()) {
                 Lab.pause(0.05);
             }
