--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -364,9 +364,16 @@
         return List.of(matcher.group(1).split(" "));
     }
 
-    /** Writes a configuration, as the operator does. */
-    void operatorWrites(String config) {
-        store.put("op/config", config);
+    /** Writes a configuration with one route, as the operator does. */
+    void operatorWrites(String host, String kind, String service) {
+        store.put("op/config", String.format(
+                """
+                {"version":7,"routes":{"r-1":{"host":"%s","path_prefix":"/work/","kind":"%s","timeout_s":6,
+                "target_latency_s":1.5,"priority":1,"service":"%s","max_attempts":2,"public":false}},
+                "services":{"%s":{"health_path":"/healthz","max_connections":1336,"protocol":"h1","tls":false}},
+                "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}
+                """,
+                host, kind, service, service));
         note("operator: configuration confirmed");
     }
 
--- a/review/src/RestartForgetsLeaving.java
+++ b/review/src/RestartForgetsLeaving.java
@@ -21,12 +21,7 @@
     }
 
     private static List<String> run(Lab lab, boolean kills) throws Exception {
-        lab.operatorWrites("""
-                {"version":7,"routes":{"r-log":{"host":"log.example","path_prefix":"/work/","kind":"unsafe",
-                "timeout_s":6,"target_latency_s":1.5,"priority":0,"service":"supply","max_attempts":2,"public":false}},
-                "services":{"supply":{"health_path":"/healthz","max_connections":2164,"protocol":"h1","tls":false}},
-                "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}
-                """);
+        lab.operatorWrites("log.example", "unsafe", "supply");
         Lab.Machine front = lab.addMachine("za", "desk", 50);
         lab.addMachine("zb", "supply", 50);
         Lab.Machine leaving = lab.addMachine("za", "supply", 50);
--- a/review/src/StopCutsRequests.java
+++ b/review/src/StopCutsRequests.java
@@ -2,13 +2,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Restarts the machines of a zone in turn and checks that no request is cut off without an answer. */
 final class StopCutsRequests {
     private static final double ROLL_GAP_S = 1.3;
     private static final int WORK_MILLIS = 1_400;
     private static final int DEADLINE_MILLIS = 6_000;
-    private static final int CLIENTS = 6;
+    private static final int CLIENTS = 20;
+    /** Longest time between an answer and the next request of a client. */
+    private static final double MAX_PAUSE_S = 1;
 
     private record Sent(Lab.Machine machine, double at, double ended, Lab.Client.Answer answer) {}
 
@@ -19,12 +22,7 @@
     }
 
     private static List<String> run(Lab lab) throws Exception {
-        lab.operatorWrites("""
-                {"version":7,"routes":{"r-status":{"host":"status.example","path_prefix":"/work/","kind":"safe",
-                "timeout_s":6,"target_latency_s":1.5,"priority":2,"service":"ledger","max_attempts":2,"public":false}},
-                "services":{"ledger":{"health_path":"/healthz","max_connections":1336,"protocol":"h1","tls":false}},
-                "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}
-                """);
+        lab.operatorWrites("status.example", "safe", "ledger");
         for (int i = 0; i < 3; i++) {
             lab.addMachine("za", "desk", 200);
         }
@@ -41,7 +39,6 @@
         for (Lab.Machine machine : zone) {
             for (int i = 0; i < CLIENTS; i++) {
                 lab.threads.execute(() -> client(lab, machine, request, all));
-                Lab.pause(0.05);
             }
         }
         Lab.pause(4);
@@ -74,7 +71,7 @@
             double sent = lab.now();
             var answer = client.send(next);
             all.put(next.id(), new Sent(machine, sent, lab.now(), answer));
-            Lab.pause(answer.complete ? 0.02 : 0.2);
+            Lab.pause(ThreadLocalRandom.current().nextDouble(MAX_PAUSE_S));
         }
     }
 
--- a/review/src/StopResetsSlowReader.java
+++ b/review/src/StopResetsSlowReader.java
@@ -20,12 +20,7 @@
     }
 
     private static List<String> run(Lab lab) throws Exception {
-        lab.operatorWrites("""
-                {"version":7,"routes":{"r-list":{"host":"list.example","path_prefix":"/work/","kind":"safe",
-                "timeout_s":6,"target_latency_s":0.6,"priority":2,"service":"supply","max_attempts":2,"public":false}},
-                "services":{"supply":{"health_path":"/healthz","max_connections":2164,"protocol":"h1","tls":false}},
-                "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}
-                """);
+        lab.operatorWrites("list.example", "safe", "supply");
         Lab.Machine front = lab.addMachine("za", "desk", 50);
         lab.addMachine("zb", "supply", 50);
         lab.addMachine("za", "supply", 50);
