--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -368,7 +368,7 @@
     void operatorWrites(String host, String kind, String service) {
         store.put("op/config", String.format(
                 """
-                {"version":7,"routes":{"r-1":{"host":"%s","path_prefix":"/work/","kind":"%s","timeout_s":6,
+                {"version":7,"routes":{"r-1":{"host":"%s","path_prefix":"/jobs/","kind":"%s","timeout_s":6,
                 "target_latency_s":1.5,"priority":1,"service":"%s","max_attempts":2,"public":false}},
                 "services":{"%s":{"health_path":"/healthz","max_connections":1336,"protocol":"h1","tls":false}},
                 "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}
@@ -425,7 +425,7 @@
 
     /**
      * A back end: runs as many requests at once as it has slots and queues the others. Its path says how long it works
-     * and how long its answer is: /HOST/work/MILLIS/BYTES.
+     * and how long its answer is: /HOST/jobs/MILLIS/BYTES.
      */
     static final class Backend {
         final String id;
--- a/review/src/RestartForgetsLeaving.java
+++ b/review/src/RestartForgetsLeaving.java
@@ -23,9 +23,11 @@
     private static List<String> run(Lab lab, boolean kills) throws Exception {
         lab.operatorWrites("log.example", "unsafe", "supply");
         Lab.Machine front = lab.addMachine("za", "desk", 50);
-        lab.addMachine("zb", "supply", 50);
+        for (int i = 0; i < 6; i++) {
+            lab.addMachine("zb", "supply", 50);
+        }
         Lab.Machine leaving = lab.addMachine("za", "supply", 50);
-        lab.awaitReady(List.of(new Lab.Client.Request("", "POST", "log.example", "/work/x/5/10", 10, 1_000)));
+        lab.awaitReady(List.of(new Lab.Client.Request("", "POST", "log.example", "/jobs/x/5/10", 10, 1_000)));
         lab.machines.forEach(Lab.Machine::watchReadiness);
         Lab.pause(5);
         Map<String, Double> sentAt = new ConcurrentHashMap<>();
@@ -76,7 +78,7 @@
     private static void client(Lab lab, Lab.Machine machine, Map<String, Double> sentAt) {
         Lab.Client client = new Lab.Client(lab, machine);
         while (!done) {
-            var next = new Lab.Client.Request(Lab.Client.newId(), "POST", "log.example", "/work/x/120/5000", 4_000, 6_000);
+            var next = new Lab.Client.Request(Lab.Client.newId(), "POST", "log.example", "/jobs/x/120/5000", 4_000, 6_000);
             sentAt.put(next.id(), lab.now());
             ANSWERS.put(next.id(), client.send(next));
             Lab.pause(0.05);
--- a/review/src/StopCutsRequests.java
+++ b/review/src/StopCutsRequests.java
@@ -26,11 +26,11 @@
         for (int i = 0; i < 3; i++) {
             lab.addMachine("za", "desk", 200);
         }
-        for (int i = 0; i < 2; i++) {
+        for (int i = 0; i < 4; i++) {
             lab.addMachine("zb", "ledger", 200);
         }
-        var request = new Lab.Client.Request("", "GET", "status.example", "/work/x/" + WORK_MILLIS + "/400", 0, DEADLINE_MILLIS);
-        var probe = new Lab.Client.Request("", "GET", "status.example", "/work/x/5/10", 0, 1_000);
+        var request = new Lab.Client.Request("", "GET", "status.example", "/jobs/x/" + WORK_MILLIS + "/400", 0, DEADLINE_MILLIS);
+        var probe = new Lab.Client.Request("", "GET", "status.example", "/jobs/x/5/10", 0, 1_000);
         lab.awaitReady(List.of(probe));
         lab.machines.forEach(Lab.Machine::watchReadiness);
         Lab.pause(4);
--- a/review/src/StopCutsSlowReader.java
+++ b/review/src/StopCutsSlowReader.java
@@ -21,7 +21,7 @@
         Lab.Machine front = lab.addMachine("za", "desk", 50);
         lab.addMachine("zb", "supply", 50);
         lab.addMachine("za", "supply", 50);
-        lab.awaitReady(List.of(new Lab.Client.Request("", "GET", "list.example", "/work/x/5/10", 0, 1_000)));
+        lab.awaitReady(List.of(new Lab.Client.Request("", "GET", "list.example", "/jobs/x/5/10", 0, 1_000)));
         Lab.pause(5);
         List<String> broken = new ArrayList<>();
         Lab.Client client = new Lab.Client(lab, front);
@@ -30,7 +30,7 @@
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < ANSWERS; i++) {
             var next = new Lab.Client.Request(
-                    Lab.Client.newId(), "GET", "list.example", "/work/x/60/" + ANSWER_BYTES, 0, DEADLINE_MILLIS);
+                    Lab.Client.newId(), "GET", "list.example", "/jobs/x/60/" + ANSWER_BYTES, 0, DEADLINE_MILLIS);
             ids.add(next.id());
             client.write(next);
         }
--- a/review/src/StopResetsSlowReader.java
+++ b/review/src/StopResetsSlowReader.java
@@ -24,7 +24,7 @@
         Lab.Machine front = lab.addMachine("za", "desk", 50);
         lab.addMachine("zb", "supply", 50);
         lab.addMachine("za", "supply", 50);
-        lab.awaitReady(List.of(new Lab.Client.Request("", "GET", "list.example", "/work/x/5/10", 0, 1_000)));
+        lab.awaitReady(List.of(new Lab.Client.Request("", "GET", "list.example", "/jobs/x/5/10", 0, 1_000)));
         Lab.pause(5);
         if (lab.trouble) {
             lab.threads.execute(() -> {
@@ -75,7 +75,7 @@
 
     private static String send(Lab.Client client) throws IOException {
         var next = new Lab.Client.Request(
-                Lab.Client.newId(), "GET", "list.example", "/work/x/60/" + ANSWER_BYTES, 0, DEADLINE_MILLIS);
+                Lab.Client.newId(), "GET", "list.example", "/jobs/x/60/" + ANSWER_BYTES, 0, DEADLINE_MILLIS);
         client.write(next);
         return next.id();
     }
