--- /dev/null
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -0,0 +1,286 @@
+package org.trefoilledge.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.RouteId;
+import org.trefoilledge.core.ServiceId;
+import org.trefoilledge.core.ZoneId;
+import org.trefoilledge.core.routing.CallerLimits;
+import org.trefoilledge.core.routing.HostRoute;
+import org.trefoilledge.core.routing.OrganisationPolicy;
+import org.trefoilledge.core.routing.RoutingConfig;
+import org.trefoilledge.core.routing.TrafficSplit;
+
+/** Sidecars with stub upstreams on the loopback interface and one in-memory store. */
+final class TestFleet implements AutoCloseable {
+    static final ServiceId ORDERS = new ServiceId("orders");
+    static final ServiceId TRACKING = new ServiceId("tracking");
+    /** A joining node must be listed before keys are refused, also on a heavily loaded machine. */
+    static final long REVOCATION_MILLIS = 5_000;
+
+    private static final String CONFIG_KEY = "config";
+    private static final int MIN_PORT = 12_000;
+    private static final int FIRST_EPHEMERAL_PORT = 32_768;
+
+    private final MemoryStore store = new MemoryStore();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<Host> hosts = new ArrayList<>();
+    private final long stopMillis;
+
+    /** @param stopMillis time that a sidecar has for a planned stop */
+    TestFleet(long stopMillis) {
+        this.stopMillis = stopMillis;
+    }
+
+    MemoryStore store() {
+        return store;
+    }
+
+    /** Starts a host whose upstream answers each request with the name of the host. */
+    Host start(String name, ServiceId service) throws IOException {
+        return start(
+                name,
+                service,
+                (head, socket, out) -> UpstreamStub.write(out, UpstreamStub.response(requestId(head), name)));
+    }
+
+    /** Starts a host with an upstream that answers in its own way. */
+    Host start(String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
+        Host host = new Host(name, service, responder);
+        hosts.add(host);
+        host.start();
+        return host;
+    }
+
+    /** Writes a configuration in the format "version key". */
+    void writeConfig(String text) {
+        store.put(CONFIG_KEY, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static String requestId(String head) {
+        return head.replaceAll("(?s).*X-Request: ([^\n]*)\n.*", "$1");
+    }
+
+    /** Configurations have the format "version key", announcements "id service slots sequence state start". */
+    private final class TestPlatform implements Platform {
+        @Override
+        public HeaderNames headers() {
+            return TestHeaders.HEADERS;
+        }
+
+        @Override
+        public KeyValueStore openStore(InetSocketAddress address, EventLoop control) {
+            return store.client(control);
+        }
+
+        @Override
+        public String configKey() {
+            return CONFIG_KEY;
+        }
+
+        @Override
+        public RoutingConfig readConfig(byte[] document) {
+            List<String> parts = splitWords(document);
+            OrganisationPolicy bakery = new OrganisationPolicy(
+                    new OrganisationId("bakery"), Set.of(parts.get(1)), OptionalInt.empty(), 0, 0);
+            return new RoutingConfig(
+                    Long.parseLong(parts.get(0)),
+                    CallerLimits.DEFAULT,
+                    List.of(route("orders", ORDERS), route("tracking", TRACKING)),
+                    List.of(bakery));
+        }
+
+        @Override
+        public Announcement readAnnouncement(String method, String path, byte[] body) {
+            if (method.equals("DELETE")) {
+                return new Announcement.Deregistration(path.substring(1));
+            }
+            List<String> parts = splitWords(body);
+            return new Announcement.Heartbeat(
+                    parts.get(0),
+                    new ServiceId(parts.get(1)),
+                    Integer.parseInt(parts.get(2)),
+                    parts.get(4).equals("draining"),
+                    Long.parseLong(parts.get(3)),
+                    Long.parseLong(parts.get(5)));
+        }
+    }
+
+    /** A host: an upstream, and a sidecar that can be stopped and started again at the same addresses. */
+    final class Host implements AutoCloseable {
+        private final UpstreamStub upstream;
+        private final SidecarSettings settings;
+        private Sidecar sidecar;
+
+        private Host(String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
+            upstream = new UpstreamStub(responder);
+            settings = new SidecarSettings(
+                    new HostId(name),
+                    new ZoneId("a"),
+                    List.of(new ZoneId("a")),
+                    service,
+                    upstream.address(),
+                    loopback(freePort()),
+                    loopback(freePort()),
+                    loopback(freePort()),
+                    loopback(freePort()),
+                    loopback(freePort()),
+                    loopback(1),
+                    false,
+                    "text",
+                    new SidecarSettings.Bounds(stopMillis, REVOCATION_MILLIS, 60_000, 0.2, 48, 0.1, 20, 5_000));
+        }
+
+        void start() throws IOException {
+            sidecar = Sidecar.start(settings, new TestPlatform());
+        }
+
+        /** Stops the sidecar as planned. */
+        void stop() {
+            if (sidecar != null) {
+                sidecar.close();
+                sidecar = null;
+            }
+        }
+
+        /** Ends the sidecar without its last calls to the store, as when it is killed. */
+        void stopWithoutStore() {
+            store.down(true);
+            stop();
+            store.down(false);
+        }
+
+        UpstreamStub upstream() {
+            return upstream;
+        }
+
+        /** Announces the first run of the upstream, with the id i-1. */
+        void announce(long sequence, String state) throws Exception {
+            assertThat(announce("i-1", sequence, state, 1)).isEqualTo(200);
+        }
+
+        /** Announces a run of the upstream; returns the status of the response. */
+        int announce(String id, long sequence, String state, long startedMillis) throws Exception {
+            String body = id + " " + settings.service() + " 10 " + sequence + " " + state + " " + startedMillis;
+            return send("PUT", id, body);
+        }
+
+        /** Announces the end of the upstream with the given id; returns the status of the response. */
+        int deregister(String id) throws Exception {
+            return send("DELETE", id, "");
+        }
+
+        private int send(String method, String id, String body) throws Exception {
+            int port = settings.announcements().getPort();
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/" + id))
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .timeout(Duration.ofSeconds(5))
+                    .method(method, HttpRequest.BodyPublishers.ofString(body))
+                    .build();
+            return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+        }
+
+        HttpResponse<String> get(String path, String key) throws Exception {
+            HttpRequest request = HttpRequest.newBuilder(
+                            URI.create("http://127.0.0.1:" + settings.callers().getPort() + path))
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .timeout(Duration.ofSeconds(5))
+                    .header(TestHeaders.HEADERS.requestId(), "r" + System.nanoTime())
+                    .header(TestHeaders.HEADERS.key(), key)
+                    .build();
+            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        }
+
+        void awaitStatus(String path, String key, int status) throws Exception {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            int last = 0;
+            while (System.nanoTime() < end) {
+                last = get(path, key).statusCode();
+                if (last == status) {
+                    return;
+                }
+                Thread.sleep(50);
+            }
+            assertThat(last).isEqualTo(status);
+        }
+
+        /** Opens a connection of a caller. */
+        Socket connect() throws IOException {
+            Socket socket = new Socket();
+            socket.setReceiveBufferSize(16 * 1024);
+            socket.setSoTimeout(10_000);
+            socket.connect(settings.callers());
+            return socket;
+        }
+
+        @Override
+        public void close() throws IOException {
+            stop();
+            upstream.close();
+        }
+    }
+
+    private static List<String> splitWords(byte[] bytes) {
+        return Arrays.asList(new String(bytes, StandardCharsets.UTF_8).split(" ", -1));
+    }
+
+    private static HostRoute route(String name, ServiceId service) {
+        return new HostRoute(
+                new RouteId(name),
+                "127.0.0.1",
+                "/" + name + "/",
+                true,
+                2_000,
+                500,
+                0,
+                TrafficSplit.single(service),
+                2,
+                false);
+    }
+
+    private static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Returns an unused port below the range of ephemeral ports, so that no outgoing connection takes it meanwhile. */
+    private static int freePort() throws IOException {
+        for (int attempt = 0; attempt < 100; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, FIRST_EPHEMERAL_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException inUse) {
+                // Try another port.
+            }
+        }
+        throw new IOException("no free port between " + MIN_PORT + " and " + FIRST_EPHEMERAL_PORT);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Host host : hosts) {
+            host.close();
+        }
+    }
+}
