Stop: accept a late request only if it can be answered in the time left

Cause: requests were accepted until 0.7 of the stop time and cut off at 0.85 of it. Nothing compared the time that a request may take with the time left.

Fix: StopPlan makes the choice once, when a request arrives. For 2.7 s, in which callers notice that the node is not ready, all are accepted; after that only those whose own time limit (route or caller) ends 0.15 s before the process does. Others get 503, not run, with Retry-After 2 s. The process ends 0.5 s before the stop time.

Test: PlannedStopTest.requestThatArrivesDuringAStopIsAnsweredOrRefusedAtOnce sends at each tenth of the stop time.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerRequestHandler.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerRequestHandler.java
@@ -181,22 +181,11 @@
     private Dispatcher.DispatchRequest toDispatchRequest(RequestContext context) {
         HostRoute route = context.route();
         ServiceId target = route.trafficSplit().select(random.nextDouble());
-        long timeoutMillis = Math.min(route.timeoutMillis(), callerTimeoutMillis(context));
-        long deadlineMillis = context.request().receivedMillis() + timeoutMillis;
+        long deadlineMillis = context.request().receivedMillis() + context.timeoutMillis(headerNames.deadlineMillis());
         return new Dispatcher.DispatchRequest(
                 context.id(), buildCall(context, target), target, route.maxAttempts(), deadlineMillis);
     }
 
-    /** Returns the time for which the caller waits, or the maximum value if its header is absent or invalid. */
-    private long callerTimeoutMillis(RequestContext context) {
-        String text = context.request().header(headerNames.deadlineMillis());
-        try {
-            return text.isEmpty() ? Long.MAX_VALUE : Math.max(0, Long.parseLong(text.strip()));
-        } catch (NumberFormatException e) {
-            return Long.MAX_VALUE;
-        }
-    }
-
     private Call.Builder buildCall(RequestContext context, ServiceId target) {
         CallerRequest request = context.request();
         Call.Builder call = Call.newBuilder()
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RequestContext.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RequestContext.java
@@ -70,6 +70,24 @@
         token = Optional.of(taken);
     }
 
+    /**
+     * Returns the longest time for which the caller waits: the timeout of the route, or the caller's own if it is shorter.
+     *
+     * @param deadlineHeader name of the header in which the caller states its timeout
+     */
+    long timeoutMillis(String deadlineHeader) {
+        return Math.min(route.timeoutMillis(), callerTimeoutMillis(request.header(deadlineHeader)));
+    }
+
+    /** Returns the timeout that a header states, or the maximum value if it is absent or invalid. */
+    private static long callerTimeoutMillis(String text) {
+        try {
+            return text.isEmpty() ? Long.MAX_VALUE : Math.max(0, Long.parseLong(text.strip()));
+        } catch (NumberFormatException e) {
+            return Long.MAX_VALUE;
+        }
+    }
+
     /** Returns the id of the route, or an empty string if none has been found. */
     String routeName() {
         return route == null ? "" : route.id().value();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RequestFilters.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RequestFilters.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.core.routing.HostRoute;
 import org.trefoilledge.core.routing.OrganisationPolicy;
@@ -13,11 +14,21 @@
     /** Retry delay after refusals that a newer configuration may lift. */
     private static final long CONFIG_RETRY_AFTER_MILLIS = 500;
 
+    /** Retry delay after refusals by a node that stops: the time for the rest of the stop and a restart. */
+    private static final long RESTART_RETRY_AFTER_MILLIS = 2_000;
+
     private RequestFilters() {}
 
     /** Returns all filters, in the order of their application. */
-    static List<RequestFilter> all(ConfigState knowledge, HeaderNames headerNames, long maxConfigAgeMillis) {
-        return List.of(routeFilter(knowledge), keyFilter(knowledge, headerNames, maxConfigAgeMillis));
+    static List<RequestFilter> all(
+            ConfigState knowledge,
+            HeaderNames headerNames,
+            long maxConfigAgeMillis,
+            Supplier<Optional<StopPlan>> stopPlan) {
+        return List.of(
+                routeFilter(knowledge),
+                keyFilter(knowledge, headerNames, maxConfigAgeMillis),
+                stopFilter(stopPlan, headerNames));
     }
 
     /** Returns a filter that looks up the route in the newest configuration. */
@@ -67,6 +78,19 @@
         };
     }
 
+    /** Returns a filter that refuses requests that a stopping node may not be able to answer in the time left. */
+    static RequestFilter stopFilter(Supplier<Optional<StopPlan>> stopPlan, HeaderNames headerNames) {
+        return context -> {
+            long received = context.request().receivedMillis();
+            long timeout = context.timeoutMillis(headerNames.deadlineMillis());
+            boolean accepted =
+                    stopPlan.get().map(plan -> plan.accepts(received, timeout)).orElse(true);
+            return accepted
+                    ? Optional.empty()
+                    : refuse(ErrorKind.DRAINING, RESTART_RETRY_AFTER_MILLIS, "the node is stopping");
+        };
+    }
+
     private static Optional<CallAnswer> refuse(ErrorKind kind, long retryAfterMillis, String reason) {
         return Optional.of(Refusals.refusal(kind, retryAfterMillis, reason));
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -60,7 +60,8 @@
     private final KeyValueStore store;
     private final ControlPlane controlPlane;
     private final List<Endpoint> endpoints = new ArrayList<>();
-    private volatile boolean stopping;
+    /** The plan of the stop that has begun, null until then. */
+    private volatile StopPlan stopPlan;
 
     private Sidecar(SidecarSettings settings, Platform platform) throws IOException {
         this.settings = settings;
@@ -84,7 +85,8 @@
                 new Dispatcher(settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random);
         AdmissionGate admission = new AdmissionGate();
         CallerRequestHandler handler = new CallerRequestHandler(
-                RequestFilters.all(currentConfig, headerNames, maxConfigAgeMillis()),
+                RequestFilters.all(
+                        currentConfig, headerNames, maxConfigAgeMillis(), () -> Optional.ofNullable(stopPlan)),
                 dispatcher,
                 limits,
                 admission,
@@ -151,7 +153,7 @@
     }
 
     private boolean ready() {
-        return !stopping && controlPlane.ready() && currentConfig.ageMillis() <= maxConfigAgeMillis();
+        return stopPlan == null && controlPlane.ready() && currentConfig.ageMillis() <= maxConfigAgeMillis();
     }
 
     /** Returns the age of the configuration up to which its keys are accepted. */
@@ -214,21 +216,23 @@
         new Shutdown(this).run();
     }
 
-    /** Reports this node as not ready, asks callers to close their connections and refuses further upstream calls. */
-    void beginStop() {
-        stopping = true;
+    /** Reports this node as not ready, asks callers to close their connections and refuses further upstream calls. Returns the times of the stop. */
+    StopPlan beginStop() {
+        StopPlan plan = new StopPlan(clock.millis(), settings.bounds().stopMillis());
+        stopPlan = plan;
         LOG.info("sidecar: host {} is stopping", settings.host());
         controlLoop.execute(controlPlane::beginStop);
         trafficLoop.execute(() -> {
             callerServer.requestClose();
             gate.stop();
         });
+        return plan;
     }
 
-    /** Returns the number of unanswered requests of callers, plus one if upstream calls are pending. */
-    int openRequests() {
+    /** Returns whether requests of callers are unanswered, or calls to the upstream are pending. */
+    boolean isBusy() {
         return trafficLoop
-                .submit(() -> callerServer.openRequests() + (gate.isIdle() ? 0 : 1))
+                .submit(() -> callerServer.openRequests() > 0 || !gate.isIdle())
                 .awaitUninterruptibly()
                 .getNow();
     }
@@ -253,8 +257,4 @@
     Clock clock() {
         return clock;
     }
-
-    long stopMillis() {
-        return settings.bounds().stopMillis();
-    }
 }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RequestFiltersTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RequestFiltersTest.java
@@ -25,7 +25,8 @@
 
     private long now = 50_000;
     private final ConfigState knowledge = new ConfigState(() -> now, () -> now);
-    private final List<RequestFilter> filters = RequestFilters.all(knowledge, TestHeaders.HEADERS, MAX_KEY_AGE_MILLIS);
+    private final List<RequestFilter> filters =
+            RequestFilters.all(knowledge, TestHeaders.HEADERS, MAX_KEY_AGE_MILLIS, Optional::empty);
 
     @Test
     void refusesAsNotReadyWithoutConfiguration() {
