Upstream watch: carry what was restored into the next entry

Cause: the second run restored from the first one's entry that the upstream had left, but wrote its own entry from the heartbeats it had heard: 0. The third run found that entry. A record that replaces another one must not know less.

Fix: what was restored is written again, and a run is departed by its start time alone, as the runs of a host follow each other; the id is not needed.

Test: LeavingUpstreamTest.upstreamThatHasLeftStaysOutOfUseAfterTwoKills, which failed before (the late report led to 200 in place of 503).

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
@@ -18,8 +18,8 @@
  * @param upstreamId instance id of the upstream, empty if there is none
  * @param slots number of requests that the upstream processes concurrently
  * @param serving whether the upstream accepts requests
- * @param drainingRunStartMillis wall-clock start time of the upstream run that is draining, 0 if it is not draining; read
- *     by the next run of this node
+ * @param drainingRunStartMillis wall-clock start time of the last upstream run that has left, 0 if there is none; read by
+ *     the next run of this node
  */
 record Member(
         HostId host,
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
@@ -58,7 +58,7 @@
     void restoreDrained(String id, long drainingRunStart) {
         drainedId = id;
         restoredStartMillis = drainingRunStart;
-        if (id.equals(current.id()) && startedMillis <= drainingRunStart) {
+        if (!current.id().isEmpty() && startedMillis <= drainingRunStart) {
             draining = true;
             updateUpstream(
                     current.withState(LocalUpstream.State.DRAINING),
@@ -66,9 +66,9 @@
         }
     }
 
-    /** Returns the wall-clock start time of the current upstream run if that run is draining, otherwise 0. */
+    /** Returns the wall-clock start time of the last upstream run that is known to have left, or 0 if there is none. */
     long drainingRunStartMillis() {
-        return draining ? startedMillis : 0;
+        return Math.max(draining ? startedMillis : 0, Math.max(0, restoredStartMillis));
     }
 
     /** Marks the upstream as gone if its heartbeats have stopped. */
@@ -89,9 +89,10 @@
         if (!newerRun && !(sameRun && heartbeat.sequence() > lastSequence)) {
             return true;
         }
-        boolean alreadyDrained = heartbeat.id().equals(drainedId)
-                && ((startedMillis == Long.MIN_VALUE && restoredStartMillis == Long.MIN_VALUE)
-                        || heartbeat.startedMillis() <= restoredStartMillis);
+        boolean alreadyDrained = heartbeat.startedMillis() <= restoredStartMillis
+                || (heartbeat.id().equals(drainedId)
+                        && startedMillis == Long.MIN_VALUE
+                        && restoredStartMillis == Long.MIN_VALUE);
         draining = heartbeat.draining() || alreadyDrained || (draining && !newerRun);
         startedMillis = heartbeat.startedMillis();
         lastSequence = heartbeat.sequence();
--- /dev/null
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
@@ -0,0 +1,60 @@
+package org.trefoilledge.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.trefoilledge.sidecar.TestFleet.TRACKING;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Restarts the sidecar beside an upstream that has announced its end. */
+class LeavingUpstreamTest {
+    private static final long STOP_MILLIS = 600;
+    private static final long FIRST_RUN = 1_000;
+    private static final long NEXT_RUN = 2_000;
+    /** Time in which a sidecar has read the store and its status is published. */
+    private static final long SETTLE_MILLIS = 800;
+
+    private final TestFleet fleet = new TestFleet(STOP_MILLIS);
+    private TestFleet.Host host;
+
+    @BeforeEach
+    void startHost() throws Exception {
+        fleet.writeConfig("1 k1");
+        host = fleet.start("host-1", TRACKING);
+        assertThat(host.announce("i-1", 1, "ready", FIRST_RUN)).isEqualTo(200);
+        host.awaitStatus("/tracking/1", "k1", 200);
+    }
+
+    @AfterEach
+    void stopHost() throws IOException {
+        fleet.close();
+    }
+
+    /** Guards against an entry of the second run of a sidecar that forgets what the first run has acknowledged. */
+    @Test
+    void upstreamThatHasLeftStaysOutOfUseAfterTwoKills() throws Exception {
+        assertThat(host.deregister("i-1")).isEqualTo(200);
+        for (int i = 0; i < 2; i++) {
+            Thread.sleep(SETTLE_MILLIS);
+            host.stopWithoutStore();
+            host.start();
+        }
+
+        assertLateReportDoesNotServe();
+        assertNextRunServes("i-1");
+    }
+
+    private void assertLateReportDoesNotServe() throws Exception {
+        Thread.sleep(SETTLE_MILLIS);
+        assertThat(host.announce("i-1", 2, "ready", FIRST_RUN)).isEqualTo(200);
+        Thread.sleep(SETTLE_MILLIS);
+        assertThat(host.get("/tracking/1", "k1").statusCode()).isEqualTo(503);
+    }
+
+    private void assertNextRunServes(String id) throws Exception {
+        assertThat(host.announce(id, 1, "ready", NEXT_RUN)).isEqualTo(200);
+        host.awaitStatus("/tracking/1", "k1", 200);
+    }
+}
