Keep departed upstreams in a record of their own

Cause: what a node had acknowledged lay in its entry in the store, under the node's lease of 7 s, and a planned stop ends that lease. Two meanings with different lifetimes were in one record. The same follows from a node that is down for longer than its lease, and a node that started while the store was silent used its upstream after 1.5 s without having read anything.

The record is only ever extended, so no order of writes loses a run. A node uses its upstream only once it has read the record. The next run of the upstream has a later start and serves.

Tests: LeavingUpstreamTest (planned restart, a series of stops and kills, expired lease, silent store).

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -37,8 +37,6 @@
     private static final long FIRST_START_LIST_DELAY_MILLIS = 1_500;
     /** Delay between following the store and claiming; before, other candidates for a claim may not be known yet. */
     private static final long CLAIM_DELAY_MILLIS = 500;
-    /** Longest wait for the entry of an earlier run of this node, in case the store is unreachable at the start. */
-    private static final long PREVIOUS_ENTRY_TIMEOUT_MILLIS = 1_500;
 
     private final SidecarSettings settings;
     private final Incarnation incarnation;
@@ -53,10 +51,10 @@
     private final ZoneCollector collector;
     private final NodeReports reports;
     private final UpstreamWatch upstreamWatch;
+    private final DepartureStore departures;
     private LocalUpstream publishedUpstream;
     private Map<RateClaim, TokenSource.Holder> publishedHolders = Map.of();
     private Set<HostId> publishedSilentHosts = Set.of();
-    private final long startedMillis;
     private long followingSinceMillis;
     private boolean stopping;
 
@@ -77,11 +75,10 @@
         this.incarnation = incarnation;
         this.control = control;
         this.clock = clock;
-        this.startedMillis = clock.millis();
         this.configState = configState;
         this.traffic = traffic;
         StoreNotes notes = new StoreNotes(metrics);
-        registration = new Registration(control, store, notes, leaseClock, random, this::restorePreviousEntry);
+        registration = new Registration(control, store, notes, leaseClock, random);
         ClaimPlanner plan = new ClaimPlanner(settings.host(), incarnation, settings.zone(), settings.zones());
         claims = new RateClaims(settings.host(), incarnation, plan, store, notes, new ClaimEffects());
         directory = new Directory(settings.host(), settings.zone(), claims::applyChange);
@@ -101,11 +98,14 @@
                 clock,
                 new TrafficLoad(),
                 new ReportEffects());
-        upstreamWatch = new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis());
+        upstreamWatch =
+                new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis(), System::currentTimeMillis);
+        departures = new DepartureStore(control, store, notes, settings.host(), random, this::restoreDepartures);
         publishedUpstream = LocalUpstream.none(settings.service());
     }
 
     void start() {
+        departures.load();
         registration.start(selfEntry());
         follower.start(settings.firstStart() ? FIRST_START_LIST_DELAY_MILLIS : 0);
         Repeated.scheduleWithFixedDelay(control, TICK_INTERVAL_MILLIS, this::tick);
@@ -119,8 +119,12 @@
 
     /** Applies an announcement of the upstream on this host; returns whether the announcement is valid. */
     boolean applyAnnouncement(Announcement announcement) {
+        DepartedRuns departedBefore = upstreamWatch.departed();
         boolean valid = upstreamWatch.applyAnnouncement(announcement, clock.millis());
         publishUpstreamIfChanged();
+        if (!upstreamWatch.departed().equals(departedBefore)) {
+            departures.save(upstreamWatch.departed());
+        }
         return valid;
     }
 
@@ -181,21 +185,17 @@
         }
     }
 
-    private void restorePreviousEntry(Member previous) {
-        if (previous.drainingRunStartMillis() > 0) {
-            upstreamWatch.restoreDrained(previous.upstreamId(), previous.drainingRunStartMillis());
-            publishUpstreamIfChanged();
-        }
+    private void restoreDepartures(DepartedRuns earlier) {
+        upstreamWatch.restoreDeparted(earlier);
+        publishUpstreamIfChanged();
     }
 
     /**
-     * Returns the state of the upstream. Until the entry of an earlier run of this node was checked, which may show that
-     * the upstream was already draining, or the timeout has passed, the upstream counts as gone.
+     * Returns the state of the upstream. Until the store has told which runs have departed, the upstream counts as gone:
+     * an earlier run of this node may have acknowledged its end.
      */
     private LocalUpstream effectiveUpstream() {
-        boolean checked =
-                registration.previousEntryChecked() || clock.millis() - startedMillis > PREVIOUS_ENTRY_TIMEOUT_MILLIS;
-        return checked ? upstreamWatch.current() : LocalUpstream.none(settings.service());
+        return departures.loaded() ? upstreamWatch.current() : LocalUpstream.none(settings.service());
     }
 
     private void publishUpstreamIfChanged() {
@@ -219,8 +219,7 @@
                 settings.service(),
                 upstream.id(),
                 upstream.slots(),
-                upstream.serving() && !stopping,
-                upstreamWatch.drainingRunStartMillis());
+                upstream.serving() && !stopping);
     }
 
     private void publishMembers() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
@@ -18,8 +18,6 @@
  * @param upstreamId instance id of the upstream, empty if there is none
  * @param slots number of requests that the upstream processes concurrently
  * @param serving whether the upstream accepts requests
- * @param drainingRunStartMillis wall-clock start time of the last upstream run that has left, 0 if there is none; read by
- *     the next run of this node
  */
 record Member(
         HostId host,
@@ -29,13 +27,15 @@
         ServiceId service,
         String upstreamId,
         int slots,
-        boolean serving,
-        long drainingRunStartMillis) {
+        boolean serving) {
     private static final ObjectMapper JSON = new ObjectMapper();
+    /** Field without a meaning, which nodes of earlier versions require. */
+    private static final String LEAVING_RUN = "leavingRun";
 
     static Member parse(byte[] stored) throws IOException {
         JsonNode entry = JSON.readTree(stored);
         try {
+            requireInteger(entry, LEAVING_RUN);
             return new Member(
                     new HostId(requireText(entry, "host")),
                     new ZoneId(requireText(entry, "zone")),
@@ -44,8 +44,7 @@
                     new ServiceId(requireText(entry, "service")),
                     requireText(entry, "upstream"),
                     requireSlots(entry, "slots"),
-                    requireFlag(entry, "serving"),
-                    requireInteger(entry, "leavingRun"));
+                    requireFlag(entry, "serving"));
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid member entry: " + e.getMessage(), e);
         }
@@ -99,7 +98,7 @@
                 .put("upstream", upstreamId)
                 .put("slots", slots)
                 .put("serving", serving)
-                .put("leavingRun", drainingRunStartMillis)
+                .put(LEAVING_RUN, 0)
                 .toString()
                 .getBytes(StandardCharsets.UTF_8);
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
@@ -1,10 +1,8 @@
 package org.trefoilledge.sidecar;
 
 import io.netty.channel.EventLoop;
-import java.io.IOException;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,7 +28,6 @@
     private final StoreNotes notes;
     private final Clock leaseClock;
     private final RandomGenerator random;
-    private final Consumer<Member> previousEntryListener;
     private Member entry;
     private long entryRevision;
     private byte[] writtenValue = new byte[0];
@@ -38,25 +35,14 @@
     private boolean requestInFlight;
     private boolean deregistered;
     private long validUntilMillis = Long.MIN_VALUE;
-    private boolean previousEntryChecked;
 
-    /**
-     * @param leaseClock clock that includes the time for which the host is suspended, in which leases continue to run
-     * @param previousEntryListener receives the entry that an earlier run of this node has left in the store
-     */
-    Registration(
-            EventLoop control,
-            KeyValueStore store,
-            StoreNotes notes,
-            Clock leaseClock,
-            RandomGenerator random,
-            Consumer<Member> previousEntryListener) {
+    /** @param leaseClock clock that includes the time for which the host is suspended, in which leases continue to run */
+    Registration(EventLoop control, KeyValueStore store, StoreNotes notes, Clock leaseClock, RandomGenerator random) {
         this.control = control;
         this.store = store;
         this.notes = notes;
         this.leaseClock = leaseClock;
         this.random = random;
-        this.previousEntryListener = previousEntryListener;
     }
 
     /** Starts a lease and writes the entry under it. */
@@ -90,11 +76,6 @@
         return leaseId == 0 ? Long.MIN_VALUE : validUntilMillis;
     }
 
-    /** Returns whether the store has been checked for an entry of an earlier run of this node. */
-    boolean previousEntryChecked() {
-        return previousEntryChecked;
-    }
-
     private void startLease() {
         if (deregistered) {
             return;
@@ -149,7 +130,6 @@
             requestInFlight = false;
             notes.recordCall("write", error);
             if (error == null && revision.isPresent()) {
-                previousEntryChecked = true;
                 entryRevision = revision.get();
                 writtenValue = value;
                 writeEntryIfChanged();
@@ -166,8 +146,6 @@
             notes.recordCall("read", error);
             if (error == null) {
                 entryRevision = item.map(KeyValueStore.Item::revision).orElse(0L);
-                item.ifPresent(this::reportPreviousEntry);
-                previousEntryChecked = true;
                 retryLater(this::writeEntryIfChanged);
             } else {
                 retryLater(() -> readStoredEntry(key));
@@ -175,17 +153,6 @@
         });
     }
 
-    private void reportPreviousEntry(KeyValueStore.Item item) {
-        try {
-            Member previous = Member.parse(item.value());
-            if (!previous.incarnation().equals(entry.incarnation())) {
-                previousEntryListener.accept(previous);
-            }
-        } catch (IOException e) {
-            LOG.warn("store: ignored the earlier entry of this node: {}", e.getMessage());
-        }
-    }
-
     private void retryLater(Runnable action) {
         long delay = random.nextLong(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS);
         control.schedule(action, delay, TimeUnit.MILLISECONDS);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
@@ -1,11 +1,12 @@
 package org.trefoilledge.sidecar;
 
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.ServiceId;
 
 /**
- * Tracks the state of the upstream on this host from its announcements. A run that has started to drain never serves
+ * Tracks the state of the upstream on this host from its announcements. A run that has announced its end never serves
  * again; delayed announcements of earlier runs are ignored. Used on the control thread.
  */
 final class UpstreamWatch {
@@ -15,22 +16,18 @@
 
     private final ServiceId service;
     private final long heartbeatIntervalMillis;
+    private final LongSupplier wallClock;
     private LocalUpstream current;
     private long lastSequence;
     private long startedMillis = Long.MIN_VALUE;
     private long lastHeartbeatMillis;
-    private boolean draining;
-    /**
-     * Id of the last upstream that deregistered or was restored as drained. This node may not have received a heartbeat of
-     * that run.
-     */
-    private String drainedId = "";
-    /** Start time of the run that was already draining before this node started. */
-    private long restoredStartMillis = Long.MIN_VALUE;
+    private DepartedRuns departed = DepartedRuns.NONE;
 
-    UpstreamWatch(ServiceId service, long heartbeatMillis) {
+    /** @param wallClock time of day in milliseconds, by which upstreams state their start */
+    UpstreamWatch(ServiceId service, long heartbeatMillis, LongSupplier wallClock) {
         this.service = service;
         this.heartbeatIntervalMillis = heartbeatMillis;
+        this.wallClock = wallClock;
         this.current = LocalUpstream.none(service);
     }
 
@@ -38,37 +35,30 @@
         return current;
     }
 
+    /** Returns the runs that have announced their end, to this run of the node or to an earlier one. */
+    DepartedRuns departed() {
+        return departed;
+    }
+
     /** Applies an announcement; returns whether the announcement is valid. */
     boolean applyAnnouncement(Announcement announcement, long now) {
         if (announcement instanceof Announcement.Heartbeat heartbeat) {
             return applyHeartbeat(heartbeat, now);
         }
         if (announcement instanceof Announcement.Deregistration deregistration) {
-            drainedId = deregistration.id();
-            if (deregistration.id().equals(current.id())) {
-                draining = true;
-                updateUpstream(current.withState(LocalUpstream.State.DRAINING), "deregistered");
-            }
+            departed = deregistration.id().equals(current.id())
+                    ? departed.withRun(startedMillis)
+                    : departed.withDeregistration(deregistration.id(), wallClock.getAsLong());
+            drainIfDeparted("deregistered");
             return true;
         }
         return false;
     }
 
-    /** Restores, from the entry of an earlier run of this node, an upstream run that was already draining. */
-    void restoreDrained(String id, long drainingRunStart) {
-        drainedId = id;
-        restoredStartMillis = drainingRunStart;
-        if (!current.id().isEmpty() && startedMillis <= drainingRunStart) {
-            draining = true;
-            updateUpstream(
-                    current.withState(LocalUpstream.State.DRAINING),
-                    "started draining during an earlier run of this node");
-        }
-    }
-
-    /** Returns the wall-clock start time of the last upstream run that is known to have left, or 0 if there is none. */
-    long drainingRunStartMillis() {
-        return Math.max(draining ? startedMillis : 0, Math.max(0, restoredStartMillis));
+    /** Adds the runs that had departed during an earlier run of this node. */
+    void restoreDeparted(DepartedRuns earlier) {
+        departed = departed.merge(earlier);
+        drainIfDeparted("has left during an earlier run of this node");
     }
 
     /** Marks the upstream as gone if its heartbeats have stopped. */
@@ -83,25 +73,32 @@
         if (!heartbeat.service().equals(service) || heartbeat.slots() < 1) {
             return false;
         }
+        if (heartbeat.draining()) {
+            departed = departed.withRun(heartbeat.startedMillis());
+        }
         boolean newerRun = heartbeat.startedMillis() > startedMillis;
         boolean sameRun =
                 heartbeat.startedMillis() == startedMillis && heartbeat.id().equals(current.id());
         if (!newerRun && !(sameRun && heartbeat.sequence() > lastSequence)) {
+            drainIfDeparted("heartbeat");
             return true;
         }
-        boolean alreadyDrained = heartbeat.startedMillis() <= restoredStartMillis
-                || (heartbeat.id().equals(drainedId)
-                        && startedMillis == Long.MIN_VALUE
-                        && restoredStartMillis == Long.MIN_VALUE);
-        draining = heartbeat.draining() || alreadyDrained || (draining && !newerRun);
         startedMillis = heartbeat.startedMillis();
         lastSequence = heartbeat.sequence();
         lastHeartbeatMillis = now;
-        LocalUpstream.State state = draining ? LocalUpstream.State.DRAINING : LocalUpstream.State.SERVING;
+        LocalUpstream.State state = departed.includes(heartbeat.id(), startedMillis)
+                ? LocalUpstream.State.DRAINING
+                : LocalUpstream.State.SERVING;
         updateUpstream(new LocalUpstream(heartbeat.id(), service, heartbeat.slots(), state), "heartbeat");
         return true;
     }
 
+    private void drainIfDeparted(String reason) {
+        if (current.serving() && departed.includes(current.id(), startedMillis)) {
+            updateUpstream(current.withState(LocalUpstream.State.DRAINING), reason);
+        }
+    }
+
     private void updateUpstream(LocalUpstream next, String reason) {
         if (!next.equals(current)) {
             LOG.info("upstream: {} is {}: {}", next.id(), next.state(), reason);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
@@ -174,7 +174,7 @@
     }
 
     private static Member member(HostId host) {
-        return new Member(host, ZONE, "127.0.0.1:1", new Incarnation(1), new ServiceId("orders"), "i-1", 10, true, 0);
+        return new Member(host, ZONE, "127.0.0.1:1", new Incarnation(1), new ServiceId("orders"), "i-1", 10, true);
     }
 
     private static KeyValueStore.Item nodeItem(HostId host, long revision) {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
@@ -15,6 +15,8 @@
     private static final long NEXT_RUN = 2_000;
     /** Time in which a sidecar has read the store and its status is published. */
     private static final long SETTLE_MILLIS = 800;
+    /** More than the lifetime of a node's entry in the store. */
+    private static final long NODE_LEASE_MILLIS = 8_000;
 
     private final TestFleet fleet = new TestFleet(STOP_MILLIS);
     private TestFleet.Host host;
@@ -46,6 +48,65 @@
         assertNextRunServes("i-1");
     }
 
+    /** Guards against a planned stop that removes what the sidecar has acknowledged. */
+    @Test
+    void upstreamThatHasLeftStaysOutOfUseAfterAPlannedRestart() throws Exception {
+        assertThat(host.deregister("i-1")).isEqualTo(200);
+        Thread.sleep(SETTLE_MILLIS);
+        host.stop();
+        host.start();
+
+        assertLateReportDoesNotServe();
+        assertNextRunServes("i-1");
+    }
+
+    @Test
+    void upstreamThatHasLeftStaysOutOfUseAfterASeriesOfStopsAndKills() throws Exception {
+        assertThat(host.announce("i-1", 2, "draining", FIRST_RUN)).isEqualTo(200);
+        host.stopWithoutStore();
+        host.start();
+        host.stop();
+        host.start();
+        host.stopWithoutStore();
+        host.start();
+
+        assertLateReportDoesNotServe();
+        assertNextRunServes("i-2");
+    }
+
+    /** Guards against a lifetime of the record that ends with the entry of the node. */
+    @Test
+    void upstreamThatHasLeftStaysOutOfUseAfterTheLeaseOfItsNodeHasExpired() throws Exception {
+        assertThat(host.deregister("i-1")).isEqualTo(200);
+        Thread.sleep(SETTLE_MILLIS);
+        host.stopWithoutStore();
+        Thread.sleep(NODE_LEASE_MILLIS);
+        host.start();
+
+        assertLateReportDoesNotServe();
+    }
+
+    /** Guards against a node that uses an upstream before it knows what an earlier run has acknowledged. */
+    @Test
+    void upstreamIsNotUsedBeforeTheStoreHasAnswered() throws Exception {
+        assertThat(host.deregister("i-1")).isEqualTo(200);
+        Thread.sleep(SETTLE_MILLIS);
+        host.stop();
+        fleet.store().down(true);
+        host.start();
+        assertThat(host.announce("i-1", 2, "ready", FIRST_RUN)).isEqualTo(200);
+        Thread.sleep(3 * SETTLE_MILLIS);
+        fleet.store().down(false);
+        int arrivedBefore = host.upstream().requestHeads().size();
+        for (int i = 0; i < 20; i++) {
+            Thread.sleep(50);
+            host.get("/tracking/1", "k1");
+        }
+
+        assertThat(host.upstream().requestHeads()).hasSize(arrivedBefore);
+        assertNextRunServes("i-1");
+    }
+
     private void assertLateReportDoesNotServe() throws Exception {
         Thread.sleep(SETTLE_MILLIS);
         assertThat(host.announce("i-1", 2, "ready", FIRST_RUN)).isEqualTo(200);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -1,6 +1,7 @@
 package org.trefoilledge.sidecar;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -8,18 +9,30 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import org.trefoilledge.configstore.StoreUnavailableException;
 
-/** An in-memory key-value store whose outage can be simulated. One instance serves all nodes of a test. */
+/**
+ * An in-memory key-value store with leases, whose outage can be simulated. One instance serves all nodes of a test. Leases
+ * run on while the store is unreachable.
+ */
 final class MemoryStore {
     private final Map<String, KeyValueStore.Item> items = new TreeMap<>();
     private final List<Watcher> watchers = new ArrayList<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final Map<String, Long> leaseByKey = new HashMap<>();
     private long revision = 1;
     private long lastLeaseId;
     private volatile boolean down;
 
     private record Watcher(String prefix, Executor executor, CompletableFuture<KeyValueStore.WatchResult> future) {}
 
+    private record Lease(long lifetimeNanos, long endNanos) {
+        static Lease startingNow(long lifetimeNanos) {
+            return new Lease(lifetimeNanos, System.nanoTime() + lifetimeNanos);
+        }
+    }
+
     void down(boolean unreachable) {
         down = unreachable;
     }
@@ -34,9 +47,28 @@
     synchronized void remove(String key) {
         revision++;
         items.remove(key);
+        leaseByKey.remove(key);
         deliver(key, Optional.empty());
     }
 
+    private synchronized void endLease(long lease) {
+        leases.remove(lease);
+        List<String> keys = leaseByKey.entrySet().stream()
+                .filter(entry -> entry.getValue() == lease)
+                .map(Map.Entry::getKey)
+                .toList();
+        keys.forEach(this::remove);
+    }
+
+    private synchronized void endExpiredLeases() {
+        long now = System.nanoTime();
+        List<Long> expired = leases.entrySet().stream()
+                .filter(lease -> lease.getValue().endNanos() - now < 0)
+                .map(Map.Entry::getKey)
+                .toList();
+        expired.forEach(this::endLease);
+    }
+
     private void deliver(String key, Optional<KeyValueStore.Item> item) {
         List<Watcher> notified = new ArrayList<>(watchers);
         watchers.clear();
@@ -87,6 +119,7 @@
         @Override
         public CompletableFuture<Optional<Item>> read(String key) {
             synchronized (MemoryStore.this) {
+                endExpiredLeases();
                 return respond(Optional.ofNullable(items.get(key)));
             }
         }
@@ -94,6 +127,7 @@
         @Override
         public CompletableFuture<Listing> list(String prefix) {
             synchronized (MemoryStore.this) {
+                endExpiredLeases();
                 return respond(new Listing(
                         items.values().stream()
                                 .filter(item -> item.key().startsWith(prefix))
@@ -120,27 +154,41 @@
 
         @Override
         public CompletableFuture<Long> startLease(long lifetimeMillis) {
-            return respond(++lastLeaseId);
+            synchronized (MemoryStore.this) {
+                leases.put(++lastLeaseId, Lease.startingNow(TimeUnit.MILLISECONDS.toNanos(lifetimeMillis)));
+                return respond(lastLeaseId);
+            }
         }
 
         @Override
         public CompletableFuture<Boolean> renewLease(long lease) {
-            return respond(true);
+            synchronized (MemoryStore.this) {
+                endExpiredLeases();
+                if (!down) {
+                    leases.computeIfPresent(lease, (id, running) -> Lease.startingNow(running.lifetimeNanos()));
+                }
+                return respond(leases.containsKey(lease));
+            }
         }
 
         @Override
         public CompletableFuture<Void> endLease(long lease) {
+            if (!down) {
+                MemoryStore.this.endLease(lease);
+            }
             return respond(null);
         }
 
         @Override
         public CompletableFuture<Optional<Long>> write(String key, byte[] value, long expectedRevision, long lease) {
             synchronized (MemoryStore.this) {
+                endExpiredLeases();
                 Item stored = items.get(key);
                 long current = stored == null ? 0 : stored.revision();
-                if (down || current != expectedRevision) {
+                if (down || current != expectedRevision || !leases.containsKey(lease)) {
                     return respond(Optional.empty());
                 }
+                leaseByKey.put(key, lease);
                 return respond(Optional.of(put(key, value)));
             }
         }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamWatchTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamWatchTest.java
@@ -9,11 +9,13 @@
     private static final ServiceId ORDERS = new ServiceId("orders");
     private static final long HEARTBEAT_MILLIS = 1_500;
 
-    private final UpstreamWatch watch = new UpstreamWatch(ORDERS, HEARTBEAT_MILLIS);
+    private static final long DEREGISTERED_MILLIS = 150;
+
+    private final UpstreamWatch watch = new UpstreamWatch(ORDERS, HEARTBEAT_MILLIS, () -> DEREGISTERED_MILLIS);
 
     @Test
     void lateHeartbeatDoesNotRestoreAnUpstreamDrainedBeforeANodeRestart() {
-        watch.restoreDrained("i-1", 100);
+        watch.restoreDeparted(DepartedRuns.NONE.withRun(100));
         sendHeartbeat("i-1", 1, 100, false);
         assertThat(watch.current().serving()).isFalse();
         sendHeartbeat("i-1", 1, 200, false);
@@ -55,6 +57,42 @@
         assertThat(watch.current().state()).isEqualTo(LocalUpstream.State.DRAINING);
     }
 
+    @Test
+    void runThatStartsAfterADeregistrationWithItsIdServes() {
+        watch.applyAnnouncement(new Announcement.Deregistration("i-1"), 0);
+        sendHeartbeat("i-1", 1, DEREGISTERED_MILLIS + 1, false);
+
+        assertThat(watch.current().serving()).isTrue();
+    }
+
+    /** Guards against a record that knows less than the one it replaces. */
+    @Test
+    void restoredRunStaysAmongTheDepartedOnes() {
+        watch.restoreDeparted(DepartedRuns.NONE.withRun(100));
+        watch.applyAnnouncement(new Announcement.Deregistration("i-2"), 0);
+
+        assertThat(watch.departed().includes("i-1", 100)).isTrue();
+        assertThat(watch.departed().includes("i-2", 120)).isTrue();
+        assertThat(watch.departed().includes("i-1", 101)).isFalse();
+    }
+
+    @Test
+    void runOlderThanADepartedOneDoesNotServe() {
+        watch.restoreDeparted(DepartedRuns.NONE.withRun(100));
+        sendHeartbeat("i-0", 1, 50, false);
+
+        assertThat(watch.current().serving()).isFalse();
+    }
+
+    @Test
+    void drainingReportOfAnEarlierRunIsKept() {
+        sendHeartbeat("i-2", 1, 200, false);
+        sendHeartbeat("i-1", 9, 100, true);
+
+        assertThat(watch.current().serving()).isTrue();
+        assertThat(watch.departed().includes("i-1", 100)).isTrue();
+    }
+
     @Test
     void laterRunWithTheSameIdServesAgain() {
         sendHeartbeat("i-1", 7, 100, true);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/ZoneLoadsTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/ZoneLoadsTest.java
@@ -109,6 +109,6 @@
     }
 
     private static Member member(HostId host, ZoneId zone) {
-        return new Member(host, zone, "127.0.0.1:1", new Incarnation(1), ORDERS, "i-1", 10, true, 0);
+        return new Member(host, zone, "127.0.0.1:1", new Incarnation(1), ORDERS, "i-1", 10, true);
     }
 }
