Acknowledge the end of an upstream only once the store has it

Cause: the announcement was answered before the record was written.

Fix: the answer waits for the record, for 0.8 s at most, then is 503; an upstream repeats its announcement. The upstream gets no new work from the first moment in both cases. Endpoint answers may therefore follow later; they keep their order.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Announcement.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Announcement.java
@@ -4,6 +4,11 @@
 
 /** A status message from the upstream on this host. */
 public sealed interface Announcement {
+    /** Returns whether the upstream will accept no new requests from now on. */
+    default boolean announcesEnd() {
+        return this instanceof Deregistration || (this instanceof Heartbeat heartbeat && heartbeat.draining());
+    }
+
     /**
      * A periodic heartbeat with the state of the upstream.
      *
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -117,15 +117,16 @@
         return directory.complete();
     }
 
-    /** Applies an announcement of the upstream on this host; returns whether the announcement is valid. */
-    boolean applyAnnouncement(Announcement announcement) {
-        DepartedRuns departedBefore = upstreamWatch.departed();
+    /**
+     * Applies an announcement of the upstream on this host. The future completes with whether the announcement is valid;
+     * if the upstream announces its end, once the store has recorded it.
+     */
+    CompletableFuture<Boolean> applyAnnouncement(Announcement announcement) {
         boolean valid = upstreamWatch.applyAnnouncement(announcement, clock.millis());
         publishUpstreamIfChanged();
-        if (!upstreamWatch.departed().equals(departedBefore)) {
-            departures.save(upstreamWatch.departed());
-        }
-        return valid;
+        return valid && announcement.announcesEnd()
+                ? departures.save(upstreamWatch.departed()).thenApply(saved -> true)
+                : CompletableFuture.completedFuture(valid);
     }
 
     /** Gives up the claims so that other nodes can take them over, and marks this node as not serving. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Endpoint.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Endpoint.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.wire.SocketTransport;
@@ -34,10 +35,10 @@
 
     private final Channel listener;
 
-    /** Handles a request. Runs on an event loop and must not block. */
+    /** Handles a request. Runs on an event loop and must not block; the response may follow later. */
     @FunctionalInterface
     interface Handler {
-        Response handle(String method, String path, byte[] body);
+        CompletableFuture<Response> handle(String method, String path, byte[] body);
     }
 
     /** An HTTP response. */
@@ -84,6 +85,7 @@
 
     private static final class ServerHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Handler handler;
+        private CompletableFuture<Void> lastWritten = CompletableFuture.completedFuture(null);
 
         ServerHandler(Handler handler) {
             this.handler = handler;
@@ -91,24 +93,35 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Response result = request.decoderResult().isFailure()
-                    ? Response.emptyJson(HttpResponseStatus.BAD_REQUEST.code())
+            CompletableFuture<Response> result = request.decoderResult().isFailure()
+                    ? CompletableFuture.completedFuture(Response.emptyJson(HttpResponseStatus.BAD_REQUEST.code()))
                     : handle(request);
+            // Responses are written in the order of the requests.
+            lastWritten = lastWritten.thenCombine(result, (previous, response) -> write(context, response));
+        }
+
+        private static Void write(ChannelHandlerContext context, Response result) {
             byte[] body = result.body().getBytes(StandardCharsets.UTF_8);
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(result.status()), Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, result.contentType());
             context.writeAndFlush(response);
+            return null;
         }
 
-        private Response handle(FullHttpRequest request) {
+        private CompletableFuture<Response> handle(FullHttpRequest request) {
+            String path = request.uri();
+            CompletableFuture<Response> result;
             try {
-                return handler.handle(request.method().name(), request.uri(), ByteBufUtil.getBytes(request.content()));
+                result = handler.handle(request.method().name(), path, ByteBufUtil.getBytes(request.content()));
             } catch (RuntimeException e) {
-                LOG.error("endpoint: request for {} failed", request.uri(), e);
-                return Response.emptyJson(HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
+                result = CompletableFuture.failedFuture(e);
             }
+            return result.exceptionally(error -> {
+                LOG.error("endpoint: request for {} failed", path, error);
+                return Response.emptyJson(HttpResponseStatus.INTERNAL_SERVER_ERROR.code());
+            });
         }
 
         @Override
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -39,6 +39,8 @@
     private static final long REVOCATION_MARGIN_MILLIS = 400;
 
     private static final long UPSTREAM_SWEEP_INTERVAL_MILLIS = 1_000;
+    /** Upstreams take no response after a second. */
+    private static final long MAX_ACKNOWLEDGEMENT_MILLIS = 800;
 
     private final SidecarSettings settings;
     private final Platform platform;
@@ -141,11 +143,13 @@
         endpoints.add(new Endpoint(
                 settings.operators(),
                 controlGroup,
-                (method, path, body) -> new Endpoint.Response(200, "text/plain", metrics.scrape())));
+                (method, path, body) ->
+                        CompletableFuture.completedFuture(new Endpoint.Response(200, "text/plain", metrics.scrape()))));
         endpoints.add(new Endpoint(
                 settings.ready(),
                 controlGroup,
-                (method, path, body) -> Endpoint.Response.emptyJson(ready() ? 200 : 503)));
+                (method, path, body) ->
+                        CompletableFuture.completedFuture(Endpoint.Response.emptyJson(ready() ? 200 : 503))));
         endpoints.add(new Endpoint(settings.announcements(), controlGroup, this::handleAnnouncement));
         callerServer.listen(settings.callers());
         controlLoop.execute(controlPlane::start);
@@ -161,13 +165,23 @@
         return settings.bounds().revocationMillis() - REVOCATION_MARGIN_MILLIS;
     }
 
-    private Endpoint.Response handleAnnouncement(String method, String path, byte[] body) {
+    /** Acknowledges an announcement with 200. The upstream repeats an announcement that is answered with 503. */
+    private CompletableFuture<Endpoint.Response> handleAnnouncement(String method, String path, byte[] body) {
         Announcement announcement = platform.readAnnouncement(method, path, body);
         if (announcement instanceof Announcement.Invalid invalid) {
             LOG.info("upstream: ignored an announcement: {}", invalid.reason());
-            return Endpoint.Response.emptyJson(400);
+            return CompletableFuture.completedFuture(Endpoint.Response.emptyJson(400));
         }
-        return Endpoint.Response.emptyJson(controlPlane.applyAnnouncement(announcement) ? 200 : 400);
+        CompletableFuture<Endpoint.Response> response = controlPlane
+                .applyAnnouncement(announcement)
+                .thenApply(valid -> Endpoint.Response.emptyJson(valid ? 200 : 400));
+        if (!response.isDone()) {
+            controlLoop.schedule(
+                    () -> response.complete(Endpoint.Response.emptyJson(503)),
+                    MAX_ACKNOWLEDGEMENT_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+        return response;
     }
 
     private CompletableFuture<Optional<TokenGrant>> requestTokens(
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
@@ -107,6 +107,22 @@
         assertNextRunServes("i-1");
     }
 
+    /** Guards against an acknowledgement that a kill in the next moment makes untrue. */
+    @Test
+    void endOfAnUpstreamIsAcknowledgedOnlyOnceTheStoreHasIt() throws Exception {
+        fleet.store().down(true);
+        assertThat(host.deregister("i-1")).isEqualTo(503);
+        assertThat(host.announce("i-1", 2, "draining", FIRST_RUN)).isEqualTo(503);
+        assertThat(host.get("/tracking/1", "k1").statusCode()).isEqualTo(503);
+        fleet.store().down(false);
+        Thread.sleep(SETTLE_MILLIS);
+        assertThat(host.deregister("i-1")).isEqualTo(200);
+        host.stopWithoutStore();
+        host.start();
+
+        assertLateReportDoesNotServe();
+    }
+
     private void assertLateReportDoesNotServe() throws Exception {
         Thread.sleep(SETTLE_MILLIS);
         assertThat(host.announce("i-1", 2, "ready", FIRST_RUN)).isEqualTo(200);
