Keep a caller's connection until its answers are delivered

Cause: 500 ms after the last answer was handed to the operating system the socket was closed, also if the caller had not read it. Input that arrives at a closed socket resets the connection, and the operating system drops what it still holds.

Fix: GracefulClose shuts the output down and keeps the socket until the caller closes. An answer counts as delivered once the caller's host has acknowledged every byte and the end of the connection (tcp_info); the stop waits for that until its last moment. A connection that is closed while idle is not read from, so that a request that crosses the close counts as unread. A body that is still arriving is refused as not run.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
@@ -3,9 +3,9 @@
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -27,7 +27,6 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.ErrorKind;
@@ -42,9 +41,6 @@
     /** Limit of unanswered requests per connection. Reading pauses while it is reached. */
     private static final int MAX_OPEN_REQUESTS = 64;
 
-    /** Time between the shutdown of the output and the close, in which the caller can read the last response. */
-    private static final long CLOSE_DELAY_MILLIS = 500;
-
     private static final int HEADERS_TOO_LARGE_STATUS = 431;
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
@@ -52,6 +48,7 @@
     private final RequestDecoder decoder;
     private final Deque<Exchange> openExchanges = new ArrayDeque<>();
     private ChannelHandlerContext context;
+    private GracefulClose gracefulClose;
     private HttpRequest requestHead;
     private ByteArrayOutputStream requestBody;
     /** Body memory that is reserved for the incomplete request. */
@@ -116,9 +113,16 @@
         return openExchanges.size();
     }
 
+    /** Returns whether the caller's host has received all responses and the end of the connection. */
+    boolean isDelivered() {
+        return gracefulClose.delivered();
+    }
+
     /** Closes the connection if it is idle for too long, or if its request takes too long to arrive. */
     void checkTimeouts(long now, CallerLimits limits) {
-        if (requestHead != null && now - lastActivityMillis > limits.idleTimeoutMillis()) {
+        if (gracefulClose.started()) {
+            gracefulClose.checkTimeout(now);
+        } else if (requestHead != null && now - lastActivityMillis > limits.idleTimeoutMillis()) {
             rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT.code(), "timed out while reading the body");
         } else if (headerStartMillis > 0 && now - headerStartMillis > limits.headerTimeoutMillis()) {
             rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT.code(), "timed out while reading the header");
@@ -129,12 +133,16 @@
         }
     }
 
-    /** Stops reading, and closes the connection once all open requests are answered. */
+    /** Ignores all further input, and closes the connection once all open requests are answered. */
     void closeAfterResponses() {
+        if (requestHead != null) {
+            rejectAndClose(ErrorKind.NOT_READY.status(), "the connection closes before the body has arrived");
+        }
         closing = true;
-        context.channel().config().setAutoRead(false);
+        headerStartMillis = 0;
+        context.channel().config().setAutoRead(!openExchanges.isEmpty());
         if (openExchanges.isEmpty()) {
-            closeNow();
+            closeOnceWritten(context.writeAndFlush(Unpooled.EMPTY_BUFFER), false);
         }
     }
 
@@ -145,6 +153,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        gracefulClose = new GracefulClose(added.channel());
         lastActivityMillis = server.clock().millis();
     }
 
@@ -188,7 +197,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext unused) {
         context.flush();
-        boolean headerIncomplete = requestHead == null && decoder.hasIncompleteHeader();
+        boolean headerIncomplete = !closing && requestHead == null && decoder.hasIncompleteHeader();
         headerStartMillis = !headerIncomplete
                 ? 0
                 : headerStartMillis > 0 ? headerStartMillis : server.clock().millis();
@@ -296,15 +305,12 @@
         }
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         closing = true;
-        context.writeAndFlush(response).addListener(written -> closeGracefully());
+        closeOnceWritten(context.writeAndFlush(response), true);
         return true;
     }
 
-    /** Shuts down the output first: a close with unread input resets the connection and can lose the last response. */
-    private void closeGracefully() {
-        ((SocketChannel) context.channel()).shutdownOutput();
-        context.channel().config().setAutoRead(true);
-        context.executor().schedule(this::closeNow, CLOSE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    private void closeOnceWritten(ChannelFuture lastWrite, boolean readOn) {
+        lastWrite.addListener(written -> gracefulClose.start(server.clock().millis(), readOn));
     }
 
     private static FullHttpResponse toHttpResponse(CallAnswer answer, boolean headRequest) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
@@ -40,6 +40,7 @@
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean requestClose;
+    private boolean stopped;
 
     CallerServer(
             EventLoopGroup trafficGroup,
@@ -94,8 +95,9 @@
         requestClose = true;
     }
 
-    /** Stops accepting connections and reading requests. Closes each connection once its open requests are answered. */
+    /** Stops accepting connections and requests. Closes each connection once its open requests are answered. */
     void stopAccepting() {
+        stopped = true;
         if (listener != null) {
             listener.close();
         }
@@ -107,6 +109,11 @@
         return connections.stream().mapToInt(CallerConnection::openRequests).sum();
     }
 
+    /** Returns whether the callers' hosts have received everything on all connections. */
+    boolean isDelivered() {
+        return connections.stream().allMatch(CallerConnection::isDelivered);
+    }
+
     boolean requestsClose() {
         return requestClose;
     }
@@ -134,6 +141,9 @@
 
     void connectionOpened(CallerConnection connection) {
         connections.add(connection);
+        if (stopped) {
+            connection.closeAfterResponses();
+        }
     }
 
     void connectionClosed(CallerConnection connection) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Shutdown.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Shutdown.java
@@ -22,7 +22,7 @@
         waitUntil(plan.noticeEndMillis(), () -> false);
         waitUntil(plan.closeMillis(), () -> !sidecar.isBusy());
         sidecar.stopAcceptingRequests();
-        waitUntil(plan.endMillis(), () -> !sidecar.isBusy());
+        waitUntil(plan.endMillis(), () -> !sidecar.isBusy() && sidecar.isDelivered());
         sidecar.terminate();
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -251,6 +251,14 @@
                 .getNow();
     }
 
+    /** Returns whether the callers have received all responses, and notice that their connections end. */
+    boolean isDelivered() {
+        return trafficLoop
+                .submit(callerServer::isDelivered)
+                .awaitUninterruptibly()
+                .getNow();
+    }
+
     /** Stops listening for callers and closes their connections that have no unanswered request. */
     void stopAcceptingRequests() {
         trafficLoop.submit(callerServer::stopAccepting).awaitUninterruptibly();
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/CallerServerTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/CallerServerTest.java
@@ -232,6 +232,30 @@
         assertThat(requests).hasSize(1);
     }
 
+    @Test
+    void closesConnectionWithAPartOfAHeadWithoutAnAnswer() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, "GET /1 HTTP/1.1\r\nHost: a\r\n");
+            Thread.sleep(100);
+            trafficGroup.submit(server::stopAccepting).syncUninterruptibly();
+
+            assertThat(readAll(caller)).isEmpty();
+        }
+        assertThat(requests).isEmpty();
+    }
+
+    @Test
+    void refusesRequestWhoseBodyIsIncompleteWhenConnectionsClose() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf");
+            Thread.sleep(100);
+            trafficGroup.submit(server::stopAccepting).syncUninterruptibly();
+
+            assertThat(readAll(caller)).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
+        }
+        assertThat(requests).isEmpty();
+    }
+
     private void awaitCancellationOfAll() throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(500);
         while (cancellations.get() < requests.size() && System.nanoTime() < end) {
