Count unwritten answers as pending

Cause: an exchange counted as done when its answer was handed to Netty, which holds what the socket does not take. The stop found no open exchange and closed the channels, which drops their unwritten bytes.

Fix: a connection with unwritten bytes is busy. The same for answers to other nodes, and for the check of idle connections, which closed connections whose callers read one answer for longer than the idle time: a part that is read is activity.

Tests: SlowReaderStopTest.largeAnswersReachACallerThatReadsSlowly, which failed before; HostilePeerTest checks that unwritten responses to a peer are reported. The close of idle connections has no test of its own.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -57,7 +58,10 @@
     /** Time at which an incomplete header was first seen, or 0 if there is none. */
     private long headerStartMillis;
 
+    /** Time at which the caller last sent something, was answered, or read a part of an answer. */
     private long lastActivityMillis;
+
+    private long lastUnwrittenBytes;
     /** Whether input is ignored and the connection closes after the open exchanges. */
     private boolean closing;
 
@@ -109,8 +113,14 @@
         this.decoder = decoder;
     }
 
-    int openRequests() {
-        return openExchanges.size();
+    /** Returns whether requests are unanswered, or answers have not been handed to the operating system yet. */
+    boolean isBusy() {
+        return !openExchanges.isEmpty() || unwrittenBytes() > 0;
+    }
+
+    private long unwrittenBytes() {
+        ChannelOutboundBuffer unwritten = context.channel().unsafe().outboundBuffer();
+        return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
     }
 
     /** Returns whether the caller's host has received all responses and the end of the connection. */
@@ -122,6 +132,18 @@
     void checkTimeouts(long now, CallerLimits limits) {
         if (gracefulClose.started()) {
             gracefulClose.checkTimeout(now);
+            return;
+        }
+        long unwritten = unwrittenBytes();
+        if (unwritten != lastUnwrittenBytes) {
+            lastUnwrittenBytes = unwritten;
+            lastActivityMillis = now;
+        }
+        if (unwritten > 0) {
+            // The caller still reads earlier answers, or has stopped reading.
+            if (now - lastActivityMillis > limits.idleTimeoutMillis()) {
+                closeNow();
+            }
         } else if (requestHead != null && now - lastActivityMillis > limits.idleTimeoutMillis()) {
             rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT.code(), "timed out while reading the body");
         } else if (headerStartMillis > 0 && now - headerStartMillis > limits.headerTimeoutMillis()) {
@@ -129,7 +151,7 @@
         } else if (openExchanges.isEmpty()
                 && requestHead == null
                 && now - lastActivityMillis > limits.idleTimeoutMillis()) {
-            closeNow();
+            closeAfterResponses();
         }
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
@@ -104,9 +104,9 @@
         List.copyOf(connections).forEach(CallerConnection::closeAfterResponses);
     }
 
-    /** Returns the number of unanswered requests on all connections. */
-    int openRequests() {
-        return connections.stream().mapToInt(CallerConnection::openRequests).sum();
+    /** Returns whether any connection has an unanswered request or an unwritten answer. */
+    boolean isBusy() {
+        return connections.stream().anyMatch(CallerConnection::isBusy);
     }
 
     /** Returns whether the callers' hosts have received everything on all connections. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/PeerLinks.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/PeerLinks.java
@@ -143,6 +143,11 @@
         return new Reply(null, sent);
     }
 
+    /** Returns whether answers to other sidecars have not been handed to the operating system yet. */
+    boolean hasUnwrittenAnswers() {
+        return transport.hasUnwrittenResponses();
+    }
+
     @Override
     public void close() {
         transport.close();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -243,10 +243,10 @@
         return plan;
     }
 
-    /** Returns whether requests of callers are unanswered, or calls to the upstream are pending. */
+    /** Returns whether answers to callers or other nodes are pending or unwritten. */
     boolean isBusy() {
         return trafficLoop
-                .submit(() -> callerServer.openRequests() > 0 || !gate.isIdle())
+                .submit(() -> callerServer.isBusy() || !gate.isIdle() || peers.hasUnwrittenAnswers())
                 .awaitUninterruptibly()
                 .getNow();
     }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/SlowReaderStopTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SlowReaderStopTest.java
@@ -62,4 +62,20 @@
         }
         stop.get();
     }
+
+    /** Guards against an end of the process while answers wait in it for a caller that reads slowly. */
+    @Test
+    void largeAnswersReachACallerThatReadsSlowly() throws Exception {
+        int bytes = 1_000_000;
+        try (Socket caller = front.connect()) {
+            for (int i = 0; i < ANSWERS; i++) {
+                send(caller, request("l-" + i, 30, bytes));
+            }
+            pause(150);
+            Future<?> stop = threads.submit(front::stop);
+
+            assertThat(countAnswers(caller, ANSWERS, bytes, 300)).isEqualTo(ANSWERS);
+            stop.get();
+        }
+    }
 }
--- a/wire/src/main/java/org/trefoilledge/wire/IncomingConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/IncomingConnection.java
@@ -26,7 +26,8 @@
 
     private final Set<Long> openStreams = new HashSet<>();
     private long lastStreamId;
-    private long unwrittenBytes;
+    /** Changed on the event loop only. */
+    private volatile long unwrittenBytes;
 
     IncomingConnection(PeerTransport transport) {
         super(transport, IDLE_FACTOR * transport.settings().idleMillis());
@@ -103,12 +104,17 @@
                     peer());
             return;
         }
-        unwrittenBytes += bytes;
+        addUnwritten(bytes);
         if (unwrittenBytes > RESPONSE_BYTES_FACTOR * transport().settings().maxUnwrittenBytes()) {
             closeInEventLoop("the peer does not read its responses");
             return;
         }
-        write(envelope).addListener(future -> unwrittenBytes -= bytes);
+        write(envelope).addListener(future -> addUnwritten(-bytes));
+    }
+
+    @SuppressWarnings("NonAtomicVolatileUpdate") // only the event loop writes the field
+    private void addUnwritten(int bytes) {
+        unwrittenBytes += bytes;
     }
 
     /** Stops reading requests while the peer does not read its responses and too many response bytes are unwritten. */
@@ -125,6 +131,11 @@
         unanswered.forEach(this::notifyCancelled);
     }
 
+    @Override
+    boolean hasUnwrittenResponses() {
+        return unwrittenBytes > 0;
+    }
+
     @Override
     boolean hasPendingRequests() {
         return !openStreams.isEmpty();
--- a/wire/src/main/java/org/trefoilledge/wire/PeerConnection.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerConnection.java
@@ -49,6 +49,11 @@
     /** Returns whether any request is waiting for its response. */
     abstract boolean hasPendingRequests();
 
+    /** Returns whether responses have not been handed to the operating system yet; may be called from any thread. */
+    boolean hasUnwrittenResponses() {
+        return false;
+    }
+
     PeerTransport transport() {
         return transport;
     }
--- a/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
+++ b/wire/src/main/java/org/trefoilledge/wire/PeerTransport.java
@@ -165,6 +165,11 @@
         return connections.size();
     }
 
+    /** Returns whether responses have not been handed to the operating system yet. */
+    public boolean hasUnwrittenResponses() {
+        return connections.stream().anyMatch(PeerConnection::hasUnwrittenResponses);
+    }
+
     /** Closes all connections and fails the open requests. Must not be called on a network thread. */
     @Override
     public void close() {
--- a/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
@@ -183,9 +183,11 @@
             writer.start();
             writer.join(1_000);
             assertThat(handledTargets).hasSizeBetween(1, requests / 2);
+            assertThat(transport.hasUnwrittenResponses()).isTrue();
             for (int i = 1; i <= requests; i++) {
                 assertThat(peer.read().getStream()).isEqualTo(i);
             }
+            await(() -> !transport.hasUnwrittenResponses());
         }
     }
 
