Answer what is left at the end of a stop as of unknown outcome

Callers saw: the connection of a request that outlasts the stop ended without an answer, also if the request still waited in the queue of another host.

Fix: at the last moment each open request gets 502, which promises nothing. Only requests that were accepted early can be left then.

Test: PlannedStopTest.requestThatOutlastsAStopIsAnsweredAsOfUnknownOutcome, which failed before.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.ErrorKind;
@@ -168,6 +169,17 @@
         }
     }
 
+    /** Answers the open requests as of unknown outcome, because the process ends before their answers arrive. */
+    void abandonOpenRequests() {
+        for (Exchange exchange : List.copyOf(openExchanges)) {
+            if (exchange.answer == null) {
+                completeExchange(
+                        exchange,
+                        Refusals.refusal(ErrorKind.OUTCOME_UNKNOWN, "the node stopped before the answer arrived"));
+            }
+        }
+    }
+
     void closeNow() {
         context.close();
     }
@@ -286,6 +298,9 @@
     }
 
     private void handle(CallerRequest request, Exchange exchange) {
+        if (exchange.answer != null) {
+            return;
+        }
         if (!context.channel().isActive()) {
             server.handler().onCallerLeft(request);
             return;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerServer.java
@@ -104,6 +104,11 @@
         List.copyOf(connections).forEach(CallerConnection::closeAfterResponses);
     }
 
+    /** Answers all open requests as of unknown outcome. */
+    void abandonOpenRequests() {
+        List.copyOf(connections).forEach(CallerConnection::abandonOpenRequests);
+    }
+
     /** Returns whether any connection has an unanswered request or an unwritten answer. */
     boolean isBusy() {
         return connections.stream().anyMatch(CallerConnection::isBusy);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -264,8 +264,9 @@
         trafficLoop.submit(callerServer::stopAccepting).awaitUninterruptibly();
     }
 
-    /** Removes this node's entry from the store closes all connections and stops the threads. */
+    /** Removes this node's entry from the store, closes all connections and stops the threads. */
     void terminate() {
+        trafficLoop.submit(callerServer::abandonOpenRequests).awaitUninterruptibly();
         controlLoop.submit(controlPlane::deregister).awaitUninterruptibly();
         callerServer.close();
         endpoints.forEach(Endpoint::close);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/PlannedStopTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/PlannedStopTest.java
@@ -84,6 +84,19 @@
         assertThat(outcomes.get(3).get().status()).isEqualTo(200);
     }
 
+    /** Guards against a stop that ends the connection of a waiting caller without a word. */
+    @Test
+    void requestThatOutlastsAStopIsAnsweredAsOfUnknownOutcome() throws Exception {
+        try (Socket caller = front.connect()) {
+            Future<?> stop = threads.submit(front::stop);
+            pause(STOP_MILLIS * 2 / 5);
+            send(caller, request("u-1", 1_900, 10));
+
+            assertThat(readStatus(caller)).isEqualTo(502);
+            stop.get();
+        }
+    }
+
     private Callable<Outcome> sendAt(long startNanos, long atMillis, String id, long workMillis) {
         return () -> {
             pause(atMillis - millisSince(startNanos));
