Release the memory of a request's body once

Seen by the review by reading: a caller leaves while its request waits for a token, the body is released, and the answer that follows releases it again. The limit of body memory grows with each such caller, until bodies fill the heap.

Fix: the exchange forgets its reservation when it releases it.

Test: CallerServerTest.releasesBodyMemoryOnceWhenTheAnswerFollowsTheCallersClose. With the second release put back it fails: 0 bytes reserved expected, -900 found.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
@@ -70,7 +70,7 @@
     private static final class Exchange {
         private final boolean keepAlive;
         private final boolean headRequest;
-        private final long reservedBytes;
+        private long reservedBytes;
         private Runnable cancel = () -> {};
         private CallAnswer answer;
 
@@ -79,6 +79,12 @@
             this.headRequest = headRequest;
             this.reservedBytes = reservedBytes;
         }
+
+        /** Releases the memory of the body, once: an answer can still arrive after the caller has left. */
+        void releaseBody(BodyMemoryLimit memory) {
+            memory.release(reservedBytes);
+            reservedBytes = 0;
+        }
     }
 
     /** Rejects requests with both Content-Length and chunked encoding, and detects incomplete headers. */
@@ -202,7 +208,7 @@
         discardBody();
         openExchanges.forEach(exchange -> {
             if (exchange.answer == null) {
-                server.bodyMemory().release(exchange.reservedBytes);
+                exchange.releaseBody(server.bodyMemory());
                 exchange.cancel.run();
             }
         });
@@ -313,9 +319,7 @@
     }
 
     private void completeExchange(Exchange exchange, CallAnswer answer) {
-        if (exchange.answer == null) {
-            server.bodyMemory().release(exchange.reservedBytes);
-        }
+        exchange.releaseBody(server.bodyMemory());
         exchange.answer = answer;
         boolean close = false;
         while (!close && !openExchanges.isEmpty() && openExchanges.peekFirst().answer != null) {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/CallerServerTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/CallerServerTest.java
@@ -38,6 +38,7 @@
     private final List<Consumer<CallAnswer>> answerCallbacks = new CopyOnWriteArrayList<>();
     private final CountDownLatch cancelled = new CountDownLatch(1);
     private final AtomicInteger cancellations = new AtomicInteger();
+    private final BodyMemoryLimit bodyMemory = new BodyMemoryLimit(BODY_MEMORY_BYTES);
     private CallerServer server;
     private InetSocketAddress address;
 
@@ -66,12 +67,7 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
         }
-        server = new CallerServer(
-                trafficGroup,
-                new RecordingHandler(),
-                () -> LIMITS,
-                new BodyMemoryLimit(BODY_MEMORY_BYTES),
-                Clock.system());
+        server = new CallerServer(trafficGroup, new RecordingHandler(), () -> LIMITS, bodyMemory, Clock.system());
         server.listen(address);
     }
 
@@ -157,6 +153,20 @@
         }
     }
 
+    /** Guards against a limit of body memory that grows with each caller that leaves before its answer. */
+    @Test
+    void releasesBodyMemoryOnceWhenTheAnswerFollowsTheCallersClose() throws Exception {
+        try (Socket caller = connect()) {
+            send(caller, "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n" + "x".repeat(900));
+            awaitRequests(1);
+            assertThat(bodyMemory.reservedBytes()).isEqualTo(900);
+        }
+        assertThat(cancelled.await(500, TimeUnit.MILLISECONDS)).isTrue();
+        answer(0, "late");
+
+        assertThat(bodyMemory.reservedBytes()).isZero();
+    }
+
     @Test
     void cancelsRequestWhenCallerDisconnects() throws Exception {
         try (Socket caller = connect()) {
