--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerConnection.java
@@ -1,6 +1,5 @@
 package org.trefoilledge.sidecar;
 
-import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
@@ -34,7 +33,6 @@
 import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.core.routing.CallerLimits;
 import org.trefoilledge.wire.generated.CallAnswer;
-import org.trefoilledge.wire.generated.Header;
 
 /** A caller's HTTP/1.1 connection. Aggregates requests and writes the responses in request order. */
 @SuppressWarnings("FutureReturnValueIgnored") // channel events and timers report failures
@@ -44,7 +42,6 @@
     private static final int MAX_OPEN_REQUESTS = 64;
 
     private static final int HEADERS_TOO_LARGE_STATUS = 431;
-    private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final CallerServer server;
     private final RequestDecoder decoder;
@@ -337,7 +334,7 @@
     /** Writes the response of an exchange. Returns whether the connection closes after it. */
     private boolean writeResponse(Exchange exchange) {
         lastActivityMillis = server.clock().millis();
-        FullHttpResponse response = toHttpResponse(exchange.answer, exchange.headRequest);
+        FullHttpResponse response = CallerResponses.encode(exchange.answer, exchange.headRequest);
         // Callers resend the requests that follow a response with Connection: close, so only the last response closes.
         boolean close = openExchanges.isEmpty() && (!exchange.keepAlive || server.requestsClose() || closing);
         if (!close) {
@@ -354,30 +351,6 @@
         lastWrite.addListener(written -> gracefulClose.start(server.clock().millis(), readOn));
     }
 
-    private static FullHttpResponse toHttpResponse(CallAnswer answer, boolean headRequest) {
-        ByteString bytes = Refusals.isRefusal(answer) ? ByteString.EMPTY : answer.getBody();
-        HttpResponseStatus status = HttpResponseStatus.valueOf(answer.getStatus());
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                status,
-                headRequest ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes.asReadOnlyByteBuffer()),
-                ForwardedHeaders.WITHOUT_VALIDATION,
-                ForwardedHeaders.WITHOUT_VALIDATION);
-        for (Header header : answer.getHeadersList()) {
-            response.headers().add(header.getName(), header.getValue());
-        }
-        boolean omitLength = answer.getStatus() == HttpResponseStatus.NO_CONTENT.code()
-                || answer.getStatus() == HttpResponseStatus.NOT_MODIFIED.code();
-        if (!omitLength && !(headRequest && bytes.isEmpty())) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.size());
-        }
-        if (answer.getRetryAfterMillis() > 0) {
-            double seconds = answer.getRetryAfterMillis() / MILLIS_PER_SECOND;
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, Double.toString(seconds));
-        }
-        return response;
-    }
-
     private void rejectUndecodable(DecoderResult result) {
         boolean tooLong = result.cause() instanceof TooLongHttpHeaderException
                 || result.cause() instanceof TooLongHttpLineException;
