Tests: open new connections to a sidecar that was restarted

Seen once: an announcement of LeavingUpstreamTest got no answer within 5 s, while the control thread of the new sidecar worked and logged no announcement. In one process, connections of the ended sidecar can outlive it, and the client of the test reuses its connections. That this was the cause is an inference; with real processes such a connection is reset.

--- a/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -45,7 +45,6 @@
     private static final int FIRST_EPHEMERAL_PORT = 32_768;
 
     private final MemoryStore store = new MemoryStore();
-    private final HttpClient client = HttpClient.newHttpClient();
     private final List<Host> hosts = new ArrayList<>();
     private final long stopMillis;
 
@@ -133,6 +132,8 @@
         private final UpstreamStub upstream;
         private final SidecarSettings settings;
         private Sidecar sidecar;
+        /** Replaced at each start: in one process, connections of an ended sidecar can outlive it. */
+        private HttpClient client;
 
         private Host(String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
             upstream = new UpstreamStub(responder);
@@ -154,6 +155,7 @@
         }
 
         void start() throws IOException {
+            client = HttpClient.newHttpClient();
             sidecar = Sidecar.start(settings, new TestPlatform());
         }
 
