Write the record of departed upstreams again when leases have ended

Cause: the record was written once; its lease can end like that of the node, which is renewed and started anew.

Fix: a node that finds its own lease ended reads the record and writes what is missing.

Test: LeavingUpstreamTest.upstreamThatHasLeftStaysOutOfUseAfterTheStoreHasEndedAllLeases; before, the late report led to 200 in place of 503.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -78,7 +78,7 @@
         this.configState = configState;
         this.traffic = traffic;
         StoreNotes notes = new StoreNotes(metrics);
-        registration = new Registration(control, store, notes, leaseClock, random);
+        registration = new Registration(control, store, notes, leaseClock, random, this::reloadDepartures);
         ClaimPlanner plan = new ClaimPlanner(settings.host(), incarnation, settings.zone(), settings.zones());
         claims = new RateClaims(settings.host(), incarnation, plan, store, notes, new ClaimEffects());
         directory = new Directory(settings.host(), settings.zone(), claims::applyChange);
@@ -186,6 +186,10 @@
         }
     }
 
+    private void reloadDepartures() {
+        departures.load();
+    }
+
     private void restoreDepartures(DepartedRuns earlier) {
         upstreamWatch.restoreDeparted(earlier);
         publishUpstreamIfChanged();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/DepartureStore.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/DepartureStore.java
@@ -57,19 +57,26 @@
         this.onLoaded = onLoaded;
     }
 
-    /** Reads the record; tries again until the store answers. */
+    /** Reads the record, and writes it again if it is missing; tries again until the store answers. */
     void load() {
+        if (!requestInFlight) {
+            readRecord();
+        }
+    }
+
+    private void readRecord() {
         requestInFlight = true;
         store.read(key).whenComplete((item, error) -> {
             notes.recordCall("read", error);
             if (error != null) {
-                retryLater(this::load);
+                retryLater(this::readRecord);
                 return;
             }
             requestInFlight = false;
             loaded = true;
             revision = item.map(KeyValueStore.Item::revision).orElse(0L);
             stored = item.map(DepartureStore::parse).orElse(DepartedRuns.NONE);
+            wanted = wanted.merge(stored);
             onLoaded.accept(stored);
             saveIfWanted();
         });
@@ -103,7 +110,7 @@
             if (error == null) {
                 write(lease);
             } else {
-                retryLater(this::load);
+                retryLater(this::readRecord);
             }
         });
     }
@@ -119,7 +126,7 @@
                 saveIfWanted();
             } else {
                 // The write may have been executed, or may still be: only a read shows what the store has.
-                retryLater(this::load);
+                retryLater(this::readRecord);
             }
         });
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
@@ -28,6 +28,7 @@
     private final StoreNotes notes;
     private final Clock leaseClock;
     private final RandomGenerator random;
+    private final Runnable onLeaseExpired;
     private Member entry;
     private long entryRevision;
     private byte[] writtenValue = new byte[0];
@@ -36,13 +37,23 @@
     private boolean deregistered;
     private long validUntilMillis = Long.MIN_VALUE;
 
-    /** @param leaseClock clock that includes the time for which the host is suspended, in which leases continue to run */
-    Registration(EventLoop control, KeyValueStore store, StoreNotes notes, Clock leaseClock, RandomGenerator random) {
+    /**
+     * @param leaseClock clock that includes the time for which the host is suspended, in which leases continue to run
+     * @param onLeaseExpired called when the store has ended the lease, and may have ended others
+     */
+    Registration(
+            EventLoop control,
+            KeyValueStore store,
+            StoreNotes notes,
+            Clock leaseClock,
+            RandomGenerator random,
+            Runnable onLeaseExpired) {
         this.control = control;
         this.store = store;
         this.notes = notes;
         this.leaseClock = leaseClock;
         this.random = random;
+        this.onLeaseExpired = onLeaseExpired;
     }
 
     /** Starts a lease and writes the entry under it. */
@@ -105,6 +116,7 @@
                 validUntilMillis = Math.max(validUntilMillis, sent + LEASE_DURATION_MILLIS);
             } else if (error == null && leaseId == current) {
                 LOG.info("store: lease of this node expired; registering again");
+                onLeaseExpired.run();
                 leaseId = 0;
                 writtenValue = new byte[0];
                 startLease();
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
@@ -15,6 +15,8 @@
     private static final long NEXT_RUN = 2_000;
     /** Time in which a sidecar has read the store and its status is published. */
     private static final long SETTLE_MILLIS = 800;
+    /** Time in which a node notices that its lease has ended, and writes again what was under it. */
+    private static final long LEASE_RENEWAL_MILLIS = 3_000;
     /** More than the lifetime of a node's entry in the store. */
     private static final long NODE_LEASE_MILLIS = 8_000;
 
@@ -86,6 +88,18 @@
         assertLateReportDoesNotServe();
     }
 
+    /** Guards against a record that is lost while the node that could write it again runs on. */
+    @Test
+    void upstreamThatHasLeftStaysOutOfUseAfterTheStoreHasEndedAllLeases() throws Exception {
+        assertThat(host.deregister("i-1")).isEqualTo(200);
+        fleet.store().endAllLeases();
+        Thread.sleep(LEASE_RENEWAL_MILLIS);
+        host.stop();
+        host.start();
+
+        assertLateReportDoesNotServe();
+    }
+
     /** Guards against a node that uses an upstream before it knows what an earlier run has acknowledged. */
     @Test
     void upstreamIsNotUsedBeforeTheStoreHasAnswered() throws Exception {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -51,6 +51,11 @@
         deliver(key, Optional.empty());
     }
 
+    /** Ends all leases, as a store may do during an outage. */
+    synchronized void endAllLeases() {
+        List.copyOf(leases.keySet()).forEach(this::endLease);
+    }
+
     private synchronized void endLease(long lease) {
         leases.remove(lease);
         List<String> keys = leaseByKey.entrySet().stream()
