Take a second deregistration of an id for a later run

Cause: a deregistration names only an id. The node knew an earlier run of that id, which had left, and took the message for a repeated one of that run; the later run was not recorded, and its late report made it serve.

Fix: once the current run is known to have left, a further deregistration holds for all runs of its id that have started by then. The deregistration that ends a draining run is still its own, so that the next run serves.

Tests: two of UpstreamWatchTest.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
@@ -21,6 +21,10 @@
     private long lastSequence;
     private long startedMillis = Long.MIN_VALUE;
     private long lastHeartbeatMillis;
+    /** Whether the last heartbeat of the current run has announced its end. */
+    private boolean draining;
+
+    private boolean deregistered;
     private DepartedRuns departed = DepartedRuns.NONE;
 
     /** @param wallClock time of day in milliseconds, by which upstreams state their start */
@@ -46,15 +50,27 @@
             return applyHeartbeat(heartbeat, now);
         }
         if (announcement instanceof Announcement.Deregistration deregistration) {
-            departed = deregistration.id().equals(current.id())
-                    ? departed.withRun(startedMillis)
-                    : departed.withDeregistration(deregistration.id(), wallClock.getAsLong());
-            drainIfDeparted("deregistered");
+            applyDeregistration(deregistration.id());
             return true;
         }
         return false;
     }
 
+    /**
+     * A deregistration names only an id, which several runs can have. It is that of the current run, unless this run is
+     * known to have left: then a later run with its id, which this node has not heard of, may have deregistered.
+     */
+    private void applyDeregistration(String id) {
+        boolean leftBefore = departed.includes(id, startedMillis) && (deregistered || !draining);
+        if (id.equals(current.id()) && !leftBefore) {
+            deregistered = true;
+            departed = departed.withRun(startedMillis);
+        } else {
+            departed = departed.withDeregistration(id, wallClock.getAsLong());
+        }
+        drainIfDeparted("deregistered");
+    }
+
     /** Adds the runs that had departed during an earlier run of this node. */
     void restoreDeparted(DepartedRuns earlier) {
         departed = departed.merge(earlier);
@@ -84,6 +100,8 @@
             return true;
         }
         startedMillis = heartbeat.startedMillis();
+        draining = heartbeat.draining();
+        deregistered &= sameRun;
         lastSequence = heartbeat.sequence();
         lastHeartbeatMillis = now;
         LocalUpstream.State state = departed.includes(heartbeat.id(), startedMillis)
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamWatchTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamWatchTest.java
@@ -76,6 +76,28 @@
         assertThat(watch.departed().includes("i-1", 101)).isFalse();
     }
 
+    /** Guards against a deregistration that is taken for a repeated one of an earlier run with the same id. */
+    @Test
+    void deregistrationAfterAnotherOneOfItsIdHoldsForALaterRun() {
+        watch.restoreDeparted(DepartedRuns.NONE.withRun(100));
+        sendHeartbeat("i-1", 1, 100, false);
+        watch.applyAnnouncement(new Announcement.Deregistration("i-1"), 0);
+        sendHeartbeat("i-1", 1, 120, false);
+        assertThat(watch.current().serving()).isFalse();
+        sendHeartbeat("i-1", 1, DEREGISTERED_MILLIS + 1, false);
+
+        assertThat(watch.current().serving()).isTrue();
+    }
+
+    @Test
+    void deregistrationOfADrainingRunDoesNotHoldForALaterRun() {
+        sendHeartbeat("i-1", 1, 100, true);
+        watch.applyAnnouncement(new Announcement.Deregistration("i-1"), 0);
+        sendHeartbeat("i-1", 1, 120, false);
+
+        assertThat(watch.current().serving()).isTrue();
+    }
+
     @Test
     void runOlderThanADepartedOneDoesNotServe() {
         watch.restoreDeparted(DepartedRuns.NONE.withRun(100));
