--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -230,7 +230,11 @@
         new Shutdown(this).run();
     }
 
-    /** Reports this node as not ready, asks callers to close their connections and refuses further upstream calls. Returns the times of the stop. */
+    /**
+     * Reports this node as not ready, asks callers to close their connections and refuses further upstream calls.
+     *
+     * @return the times of the stop
+     */
     StopPlan beginStop() {
         StopPlan plan = new StopPlan(clock.millis(), settings.bounds().stopMillis());
         stopPlan = plan;
