--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Platform.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Platform.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
 import org.trefoilledge.core.routing.RoutingConfig;
 
 /** Adapts the sidecar to the platform on which it runs. */
@@ -12,6 +14,13 @@
     /** Opens a client of the platform's store. Its futures complete on the given event loop. */
     KeyValueStore openStore(InetSocketAddress address, EventLoop control);
 
+    /**
+     * Returns the features that a deployment calls for.
+     *
+     * @param terms names of the terms that are in force in the deployment; unknown names are ignored
+     */
+    Set<Feature> features(List<String> terms);
+
     /** Returns the key under which operators store the configuration. */
     String configKey();
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarSettings.java
@@ -3,8 +3,14 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.trefoilledge.configstore.SettingsException;
 import org.trefoilledge.configstore.TomlReader;
 import org.trefoilledge.core.HostId;
@@ -28,6 +34,8 @@
  * @param firstStart whether the whole fleet starts for the first time, so that most nodes are not in the store yet
  * @param logFormat {@code text} or {@code json}
  * @param bounds guaranteed times and ratios
+ * @param terms names of the terms that are in force in this deployment, as the platform writes them
+ * @param features features that the settings switch on or off, whatever the terms of the deployment
  */
 public record SidecarSettings(
         HostId host,
@@ -43,7 +51,14 @@
         InetSocketAddress store,
         boolean firstStart,
         String logFormat,
-        Bounds bounds) {
+        Bounds bounds,
+        List<String> terms,
+        Map<Feature, Boolean> features) {
+    /** Copies the collections. */
+    public SidecarSettings {
+        terms = List.copyOf(terms);
+        features = Map.copyOf(features);
+    }
 
     /**
      * Times and ratios that operators guarantee to their users.
@@ -56,6 +71,9 @@
      * @param limitOver fraction of its limit by which an organisation may exceed it in a window, over all nodes
      * @param limitSlack number of requests by which an organisation may exceed its limit in a window, over all nodes
      * @param limitWindowMillis length of a window
+     * @param evacuationMillis maximum time until a zone that operators evacuate gets no more requests; empty if operators
+     *     evacuate no zones
+     * @param coldRequests requests that a cold upstream may get in one second; empty if it may get any number
      */
     public record Bounds(
             long stopMillis,
@@ -65,7 +83,32 @@
             double retrySlack,
             double limitOver,
             double limitSlack,
-            long limitWindowMillis) {}
+            long limitWindowMillis,
+            OptionalLong evacuationMillis,
+            Optional<ColdRequests> coldRequests) {}
+
+    /**
+     * Bound of the requests that a cold upstream gets in one second, over all nodes.
+     *
+     * @param over factor of the rate that the configuration of its service states
+     * @param slack number of requests that are added to that
+     */
+    public record ColdRequests(double over, double slack) {}
+
+    /**
+     * Returns the features that are switched on.
+     *
+     * @param defaults features that the terms of the deployment call for
+     */
+    public Set<Feature> enabledFeatures(Set<Feature> defaults) {
+        EnumSet<Feature> enabled = EnumSet.noneOf(Feature.class);
+        for (Feature feature : Feature.values()) {
+            if (features.getOrDefault(feature, defaults.contains(feature))) {
+                enabled.add(feature);
+            }
+        }
+        return enabled;
+    }
 
     /**
      * Reads a settings file.
@@ -98,7 +141,9 @@
                 toml.section("store").address("address"),
                 toml.flag("first-start", false),
                 logFormat(toml.section("log")),
-                bounds(toml.section("bounds")));
+                bounds(toml.section("bounds")),
+                toml.texts("terms"),
+                features(toml.section("features")));
         toml.finish();
         return settings;
     }
@@ -124,7 +169,29 @@
                 toml.number("retry-slack", 0, 1e6),
                 toml.number("limit-over", 0, 1),
                 toml.number("limit-slack", 0, 1e6),
-                readSecondsAsMillis(toml, "limit-window-s"));
+                readSecondsAsMillis(toml, "limit-window-s"),
+                toml.keys().contains("evacuation-s")
+                        ? OptionalLong.of(readSecondsAsMillis(toml, "evacuation-s"))
+                        : OptionalLong.empty(),
+                coldRequests(toml));
+    }
+
+    private static Optional<ColdRequests> coldRequests(TomlReader toml) throws SettingsException {
+        boolean present = toml.keys().contains("cold-over") || toml.keys().contains("cold-slack");
+        return present
+                ? Optional.of(new ColdRequests(toml.number("cold-over", 0, 1e3), toml.number("cold-slack", 0, 1e6)))
+                : Optional.empty();
+    }
+
+    private static Map<Feature, Boolean> features(TomlReader toml) throws SettingsException {
+        Map<Feature, Boolean> features = new EnumMap<>(Feature.class);
+        for (Feature feature : Feature.values()) {
+            boolean enabled = toml.flag(feature.key(), false);
+            if (toml.keys().contains(feature.key())) {
+                features.put(feature, enabled);
+            }
+        }
+        return features;
     }
 
     private static long readSecondsAsMillis(TomlReader toml, String key) throws SettingsException {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -18,7 +18,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -94,6 +97,11 @@
             return store.client(control);
         }
 
+        @Override
+        public Set<Feature> features(List<String> terms) {
+            return Set.of();
+        }
+
         @Override
         public String configKey() {
             return CONFIG_KEY;
@@ -151,7 +159,19 @@
                     loopback(1),
                     false,
                     "text",
-                    new SidecarSettings.Bounds(stopMillis, REVOCATION_MILLIS, 60_000, 0.2, 48, 0.1, 20, 5_000));
+                    new SidecarSettings.Bounds(
+                            stopMillis,
+                            REVOCATION_MILLIS,
+                            60_000,
+                            0.2,
+                            48,
+                            0.1,
+                            20,
+                            5_000,
+                            OptionalLong.empty(),
+                            Optional.empty()),
+                    List.of(),
+                    Map.of());
         }
 
         void start() throws IOException {
