Handle a store that is restored from a backup

Cause: the platform's store can come back from a copy that is some seconds old. Revisions and lease ids are then issued again, and leases, claims and records written since the copy are gone. A node that goes on with what it remembers can renew or end the lease of another node, miss changes behind a revision that was issued again, grant an organisation its rate twice, or forget the acknowledged end of an upstream.

A response of an older epoch, or to a call on a revision or a lease when a restore was noticed meanwhile, is an unknown outcome. A node that has just started takes its first configuration from another node (StartupConfig).

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -80,10 +81,27 @@
         StoreNotes notes = new StoreNotes(metrics);
         registration = new Registration(control, store, notes, leaseClock, random, this::reloadDepartures);
         ClaimPlanner plan = new ClaimPlanner(settings.host(), incarnation, settings.zone(), settings.zones());
-        claims = new RateClaims(settings.host(), incarnation, plan, store, notes, new ClaimEffects());
+        claims = new RateClaims(
+                settings.host(),
+                incarnation,
+                plan,
+                store,
+                notes,
+                settings.firstStart(),
+                leaseClock,
+                new ClaimEffects());
         directory = new Directory(settings.host(), settings.zone(), claims::applyChange);
         follower = new StoreFollower(
-                control, store, notes, platform, configState, directory, clock, random, new StoreListener());
+                control,
+                store,
+                notes,
+                platform,
+                configState,
+                directory,
+                new StartupConfig(settings.firstStart(), directory),
+                clock,
+                random,
+                new StoreListener());
         ConfigFetch configs = new ConfigFetch(control, peers, configState, follower::applyConfig);
         collector = new ZoneCollector(
                 settings.host(), settings.zone(), incarnation, peers, configState, directory, configs, clock);
@@ -102,6 +120,7 @@
                 new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis(), System::currentTimeMillis);
         departures = new DepartureStore(control, store, notes, settings.host(), random, this::restoreDepartures);
         publishedUpstream = LocalUpstream.none(settings.service());
+        store.onRestore(() -> onRestore(notes, store.epoch()));
     }
 
     void start() {
@@ -112,6 +131,19 @@
         Repeated.scheduleWithFixedDelay(control, ZONE_EXCHANGE_INTERVAL_MILLIS, collector::reportToOtherZones);
     }
 
+    /** Lets each owner of state in the store find out what a store that was restored from a backup has, and write the rest. */
+    private void onRestore(StoreNotes notes, OptionalLong epoch) {
+        notes.recordRestore(epoch);
+        List<Runnable> owners = List.of(
+                directory::onRestore,
+                claims::onRestore,
+                registration::onRestore,
+                departures::onRestore,
+                reports::resetDirectoryVersion,
+                follower::onRestore);
+        owners.forEach(Repeated::runAndLogErrors);
+    }
+
     /** Returns whether the directory of nodes is complete. */
     boolean ready() {
         return directory.complete();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/DepartureStore.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/DepartureStore.java
@@ -38,6 +38,8 @@
     private long revision;
     private boolean loaded;
     private boolean requestInFlight;
+    /** Whether the store was restored, so that the record has to be written under a new lease, whatever it contains. */
+    private boolean rewriteNeeded;
 
     private record Save(DepartedRuns runs, CompletableFuture<Void> done) {}
 
@@ -87,6 +89,15 @@
         return loaded;
     }
 
+    /** Writes the record again. Until then, no departure counts as saved. */
+    void onRestore() {
+        if (wanted.equals(DepartedRuns.NONE)) {
+            return;
+        }
+        rewriteNeeded = true;
+        load();
+    }
+
     /** Adds runs to the record. The future completes once the store has them. */
     CompletableFuture<Void> save(DepartedRuns runs) {
         Save save = new Save(runs, new CompletableFuture<>());
@@ -97,11 +108,10 @@
     }
 
     private void saveIfWanted() {
-        List<Save> done =
-                saves.stream().filter(save -> stored.includes(save.runs())).toList();
-        saves.removeAll(done);
-        done.forEach(save -> save.done().complete(null));
-        if (!loaded || requestInFlight || stored.includes(wanted)) {
+        if (!rewriteNeeded) {
+            completeSaves();
+        }
+        if (!loaded || requestInFlight || (stored.includes(wanted) && !rewriteNeeded)) {
             return;
         }
         requestInFlight = true;
@@ -115,12 +125,20 @@
         });
     }
 
+    private void completeSaves() {
+        List<Save> done =
+                saves.stream().filter(save -> stored.includes(save.runs())).toList();
+        saves.removeAll(done);
+        done.forEach(save -> save.done().complete(null));
+    }
+
     private void write(long lease) {
         DepartedRuns runs = stored.merge(wanted);
         store.write(key, runs.toJson(), revision, lease).whenComplete((written, error) -> {
             notes.recordCall("write", error);
             if (error == null && written.isPresent()) {
                 requestInFlight = false;
+                rewriteNeeded = false;
                 revision = written.get();
                 stored = runs;
                 saveIfWanted();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Directory.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -53,6 +54,9 @@
     private Map<HostId, ZoneId> zoneByHost;
     private long version;
     private boolean complete;
+    /** Whether the claims are to be reported again with the next listing, because the store was restored. */
+    private boolean claimsOutdated;
+
     /** Whether the members have changed since {@code others} and {@code zoneByHost} were built. */
     private boolean tablesOutdated;
 
@@ -105,6 +109,11 @@
         return delegates.computeIfAbsent(ofZone, each -> ZoneDelegates.of(each, zoneByHost, DELEGATES_PER_ZONE));
     }
 
+    /** Reports all claims again with the next complete listing, because the revisions of a restored store differ. */
+    void onRestore() {
+        claimsOutdated = true;
+    }
+
     /** Applies a complete listing of the store. Nodes that are missing are removed only after a delay. */
     void applyStoreListing(Collection<KeyValueStore.Item> all, long now) {
         replaceItems(all, Optional.of(now));
@@ -136,6 +145,7 @@
             missing.remove(item.key());
             applyChange(new KeyValueStore.Change(item.key(), Optional.of(item)), missingSince);
         }
+        claimsOutdated = false;
         missing.forEach(key -> applyChange(new KeyValueStore.Change(key, Optional.empty()), missingSince));
         complete = true;
         rebuildTables();
@@ -143,7 +153,7 @@
 
     private void applyChange(KeyValueStore.Change change, Optional<Long> missingSince) {
         if (change.key().startsWith(CLAIM_PREFIX)) {
-            if (recordChange(change)) {
+            if (recordChange(change) || claimsOutdated) {
                 claimListener.onClaimChanged(change.key().substring(CLAIM_PREFIX.length()), change.item());
             }
         } else if (change.key().startsWith(NODE_PREFIX)) {
@@ -193,10 +203,14 @@
             }
             items.remove(change.key());
         } else {
-            if (recorded != null && recorded.revision() == change.item().get().revision()) {
+            KeyValueStore.Item item = change.item().get();
+            // A restored store issues revisions again, so that the same revision can have another value.
+            if (recorded != null
+                    && recorded.revision() == item.revision()
+                    && Arrays.equals(recorded.value(), item.value())) {
                 return false;
             }
-            items.put(change.key(), change.item().get());
+            items.put(change.key(), item);
         }
         changedAtVersion.put(change.key(), ++version);
         return true;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/KeyValueStore.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/KeyValueStore.java
@@ -2,11 +2,17 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * Asynchronous client of the platform's key-value store. The futures complete on the control thread, and fail with a
  * {@link org.trefoilledge.configstore.StoreException} if a call times out or the store responds with an error.
+ *
+ * <p>The store can be restored from a backup: each restore starts a new epoch, in which revisions and lease ids are issued
+ * again. An answer of an older epoch than the newest one seen, and an answer to a call that refers to a revision or a lease
+ * if a restore was noticed since the call was sent, are reported as
+ * {@link org.trefoilledge.configstore.StoreOutcomeUnknownException}.
  */
 public interface KeyValueStore extends AutoCloseable {
     /**
@@ -68,6 +74,12 @@
      */
     CompletableFuture<Boolean> remove(String key, long expectedRevision);
 
+    /** Adds a listener that is called on the control thread when a response shows that the store was restored. */
+    void onRestore(Runnable listener);
+
+    /** Returns the newest epoch that a response has shown, empty if the store states none. Used on the control thread. */
+    OptionalLong epoch();
+
     @Override
     void close();
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Registration.java
@@ -16,7 +16,7 @@
      * Longest time for which the entry and the claims of a node outlive it. During a store outage, keys are refused once
      * the revocation time has passed; until then the owners of the limits should keep their claims.
      */
-    private static final long LEASE_DURATION_MILLIS = 7_000;
+    static final long LEASE_DURATION_MILLIS = 7_000;
     /** An entry whose lease expired during a store outage must be written again within two seconds of the outage's end. */
     private static final long RENEWAL_INTERVAL_MILLIS = 1_500;
 
@@ -35,6 +35,11 @@
     private long leaseId;
     private boolean requestInFlight;
     private boolean deregistered;
+    /** Whether the store was restored, so that the revision of the entry is not known. */
+    private boolean revisionUnknown;
+    /** Incremented when the store was restored; leases that were requested before are not used. */
+    private long restores;
+
     private long validUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -77,6 +82,18 @@
         }
     }
 
+    /**
+     * Drops the lease without ending it, because its id can now belong to another node, and registers again. The old entry
+     * expires or is overwritten.
+     */
+    void onRestore() {
+        restores++;
+        leaseId = 0;
+        writtenValue = new byte[0];
+        revisionUnknown = true;
+        startLease();
+    }
+
     /** Returns the id of this node's lease, 0 if there is none. */
     long leaseId() {
         return leaseId;
@@ -92,10 +109,18 @@
             return;
         }
         long sent = leaseClock.millis();
+        long sentAfterRestores = restores;
         store.startLease(LEASE_DURATION_MILLIS).whenComplete((id, error) -> {
             notes.recordCall("start-lease", error);
+            if (sentAfterRestores != restores) {
+                return;
+            }
             if (error != null) {
-                retryLater(this::startLease);
+                retryLater(() -> {
+                    if (sentAfterRestores == restores) {
+                        startLease();
+                    }
+                });
                 return;
             }
             leaseId = id;
@@ -136,8 +161,12 @@
         if (Arrays.equals(value, writtenValue)) {
             return;
         }
-        requestInFlight = true;
         String key = Directory.NODE_PREFIX + entry.host();
+        if (revisionUnknown) {
+            readStoredEntry(key);
+            return;
+        }
+        requestInFlight = true;
         store.write(key, value, entryRevision, leaseId).whenComplete((revision, error) -> {
             requestInFlight = false;
             notes.recordCall("write", error);
@@ -157,6 +186,7 @@
             requestInFlight = false;
             notes.recordCall("read", error);
             if (error == null) {
+                revisionUnknown = false;
                 entryRevision = item.map(KeyValueStore.Item::revision).orElse(0L);
                 retryLater(this::writeEntryIfChanged);
             } else {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
@@ -32,6 +32,9 @@
             .description("Time from the last byte of a request to its answer")
             .serviceLevelObjectives(LATENCY_BUCKETS)
             .register(registry);
+    private final Counter storeRestores = Counter.builder("trefoilledge.store.restores")
+            .description("Restores of the platform's store from a backup that this node has noticed")
+            .register(registry);
     private final Map<CallerLeft, Counter> callersLeft = new EnumMap<>(CallerLeft.class);
 
     SidecarMetrics() {
@@ -76,6 +79,11 @@
                 .increment();
     }
 
+    /** Counts a restore of the platform's store. */
+    void recordStoreRestore() {
+        storeRestores.increment();
+    }
+
     /** Registers a gauge whose value is read on every scrape. */
     void registerGauge(String name, String description, DoubleSupplier value) {
         io.micrometer.core.instrument.Gauge.builder(name, value::getAsDouble)
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -39,6 +39,7 @@
     private final Platform platform;
     private final ConfigState configState;
     private final Directory directory;
+    private final StartupConfig startup;
     private final Clock clock;
     private final RandomGenerator random;
     private final Listener listener;
@@ -65,6 +66,7 @@
             Platform platform,
             ConfigState configState,
             Directory directory,
+            StartupConfig startup,
             Clock clock,
             RandomGenerator random,
             Listener listener) {
@@ -74,6 +76,7 @@
         this.platform = platform;
         this.configState = configState;
         this.directory = directory;
+        this.startup = startup;
         this.clock = clock;
         this.random = random;
         this.listener = listener;
@@ -102,6 +105,20 @@
         }
     }
 
+    /**
+     * Discards the revision up to which this node knows the store, because a restored store issues it again, and reads the
+     * store from the start.
+     */
+    void onRestore() {
+        generation++;
+        if (watching) {
+            refreshConfig();
+        }
+        if (watching || !directory.complete()) {
+            listFleet(generation, watching);
+        }
+    }
+
     boolean isWatching() {
         return watching;
     }
@@ -161,7 +178,7 @@
             if (change.key().startsWith(Directory.PREFIX)) {
                 directoryChanges.add(change);
             } else if (change.key().equals(platform.configKey())) {
-                change.item().ifPresent(item -> applyConfig(item.value(), asOf));
+                change.item().ifPresent(item -> applyStoreConfig(item.value(), asOf));
             }
         }
         if (!directoryChanges.isEmpty()) {
@@ -193,12 +210,18 @@
             configReadInFlight = false;
             notes.recordCall("read", error);
             if (error == null && item.isPresent()) {
-                applyConfig(item.get().value(), sent);
+                applyStoreConfig(item.get().value(), sent);
                 listener.onConfigRead();
             }
         });
     }
 
+    private void applyStoreConfig(byte[] document, ConfigState.Timestamp asOf) {
+        if (startup.acceptsFromStore(store.epoch(), configState.version() > 0, clock.millis())) {
+            applyConfig(document, asOf);
+        }
+    }
+
     /** Applies a configuration document, from the store or from a peer, that was the newest one at the given time. */
     void applyConfig(byte[] document, ConfigState.Timestamp asOf) {
         try {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreNotes.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreNotes.java
@@ -1,5 +1,6 @@
 package org.trefoilledge.sidecar;
 
+import java.util.OptionalLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -14,6 +15,14 @@
         this.metrics = metrics;
     }
 
+    /** Records that the store was restored from a backup. */
+    void recordRestore(OptionalLong epoch) {
+        metrics.recordStoreRestore();
+        LOG.warn(
+                "store: restored from a backup, now at epoch {}; writing the state of this node again",
+                epoch.orElse(0));
+    }
+
     /** Records the outcome of a call; the error is null if the call succeeded. */
     void recordCall(String operation, Throwable error) {
         boolean succeeded = error == null;
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/ConfigStateTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/ConfigStateTest.java
@@ -30,6 +30,16 @@
         assertThat(configState.version()).isEqualTo(4);
     }
 
+    /** Guards against a restored store whose older version makes a node believe that its own is still the newest one. */
+    @Test
+    void olderVersionDoesNotConfirmANewerOne() {
+        configState.update(configOfVersion(4), new byte[0], configState.now());
+        advance(2_000);
+        configState.update(configOfVersion(3), new byte[0], configState.now());
+
+        assertThat(configState.ageMillis()).isEqualTo(2_000);
+    }
+
     @Test
     void confirmingAnOlderVersionDoesNotReduceTheAge() {
         configState.update(configOfVersion(4), new byte[0], configState.now());
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DirectoryTest.java
@@ -25,6 +25,34 @@
     private final Directory directory =
             new Directory(SELF, ZONE, (name, item) -> claimChanges.add(name + (item.isPresent() ? " taken" : " free")));
 
+    /** Guards against a value that a restored store has written at a revision that was used before. */
+    @Test
+    void otherValueAtTheSameRevisionReplacesTheFirst() {
+        directory.applyStoreListing(List.of(nodeItem(OTHER, 1)), 0);
+        Member moved =
+                new Member(OTHER, ZONE, "127.0.0.1:99", new Incarnation(2), new ServiceId("tracking"), "i-2", 10, true);
+        KeyValueStore.Item item = new KeyValueStore.Item(Directory.NODE_PREFIX + OTHER, moved.toJson(), 1);
+        long before = directory.changesSince(0).version();
+        directory.applyStoreListing(List.of(item), 0);
+
+        assertThat(directory.others().get(OTHER).peerAddress()).isEqualTo("127.0.0.1:99");
+        assertThat(directory.changesSince(before).changes()).hasSize(1);
+    }
+
+    /** Guards against claims that cannot be acquired after a restore, because their revisions were forgotten. */
+    @Test
+    void claimsAreReportedAgainWithTheListingAfterARestore() {
+        KeyValueStore.Item claim = new KeyValueStore.Item(Directory.CLAIM_PREFIX + CLAIM, new byte[] {1}, 7);
+        directory.applyStoreListing(List.of(claim), 0);
+        directory.applyStoreListing(List.of(claim), 0);
+        assertThat(claimChanges).containsExactly(CLAIM + " taken");
+        directory.onRestore();
+        directory.applyStoreListing(List.of(claim), 0);
+        directory.applyStoreListing(List.of(claim), 0);
+
+        assertThat(claimChanges).containsExactly(CLAIM + " taken", CLAIM + " taken");
+    }
+
     @Test
     void othersExcludeTheNodeItself() {
         directory.applyStoreListing(List.of(nodeItem(SELF, 1), nodeItem(OTHER, 2)), 0);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/LeavingUpstreamTest.java
@@ -100,6 +100,22 @@
         assertLateReportDoesNotServe();
     }
 
+    /** Guards against a restore of the store from a copy that does not have the acknowledged end of an upstream. */
+    @Test
+    void upstreamThatHasLeftStaysOutOfUseAfterARestoreAndTheExpiryOfTheLeases() throws Exception {
+        fleet.store().epoch(1);
+        Thread.sleep(LEASE_RENEWAL_MILLIS);
+        MemoryStore.Copy copy = fleet.store().copy();
+        assertThat(host.deregister("i-1")).isEqualTo(200);
+        fleet.store().restore(copy);
+        Thread.sleep(LEASE_RENEWAL_MILLIS);
+        host.stopWithoutStore();
+        Thread.sleep(NODE_LEASE_MILLIS);
+        host.start();
+
+        assertLateReportDoesNotServe();
+    }
+
     /** Guards against a node that uses an upstream before it knows what an earlier run has acknowledged. */
     @Test
     void upstreamIsNotUsedBeforeTheStoreHasAnswered() throws Exception {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -5,16 +5,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.trefoilledge.configstore.StoreOutcomeUnknownException;
 import org.trefoilledge.configstore.StoreUnavailableException;
 
 /**
  * An in-memory key-value store with leases, whose outage can be simulated. One instance serves all nodes of a test. Leases
- * run on while the store is unreachable.
+ * run on while the store is unreachable. The store can be restored from a copy, and then states its epoch in each answer.
  */
 final class MemoryStore {
     private final Map<String, KeyValueStore.Item> items = new TreeMap<>();
@@ -23,9 +25,38 @@
     private final Map<String, Long> leaseByKey = new HashMap<>();
     private long revision = 1;
     private long lastLeaseId;
+    private OptionalLong epoch = OptionalLong.empty();
     private volatile boolean down;
 
-    private record Watcher(String prefix, Executor executor, CompletableFuture<KeyValueStore.WatchResult> future) {}
+    private record Watcher(String prefix, Call<KeyValueStore.WatchResult> call) {}
+
+    /** A call that is not answered yet. */
+    private record Call<T>(
+            Executor executor,
+            StoreEpochs epochs,
+            long restoresWhenSent,
+            boolean boundToEpoch,
+            CompletableFuture<T> future) {
+        void answer(T value, OptionalLong epoch, boolean down) {
+            executor.execute(() -> {
+                if (down) {
+                    future.completeExceptionally(new StoreUnavailableException("down"));
+                } else if (!epochs.accept(epoch, restoresWhenSent, boundToEpoch)) {
+                    future.completeExceptionally(new StoreOutcomeUnknownException("restored"));
+                } else {
+                    future.complete(value);
+                }
+            });
+        }
+    }
+
+    /** A copy of the whole store. */
+    record Copy(
+            Map<String, KeyValueStore.Item> items,
+            Map<Long, Lease> leases,
+            Map<String, Long> leaseByKey,
+            long revision,
+            long lastLeaseId) {}
 
     private record Lease(long lifetimeNanos, long endNanos) {
         static Lease startingNow(long lifetimeNanos) {
@@ -37,6 +68,42 @@
         down = unreachable;
     }
 
+    /** States an epoch in each answer from now on. */
+    synchronized void epoch(long current) {
+        epoch = OptionalLong.of(current);
+    }
+
+    synchronized Copy copy() {
+        return new Copy(Map.copyOf(items), Map.copyOf(leases), Map.copyOf(leaseByKey), revision, lastLeaseId);
+    }
+
+    /** Replaces all items and leases by those of a copy, and starts the next epoch. Watches fail. */
+    synchronized void restore(Copy copy) {
+        epoch = OptionalLong.of(epoch.orElse(0) + 1);
+        items.clear();
+        items.putAll(copy.items());
+        leases.clear();
+        leases.putAll(copy.leases());
+        leaseByKey.clear();
+        leaseByKey.putAll(copy.leaseByKey());
+        revision = copy.revision();
+        lastLeaseId = copy.lastLeaseId();
+        watchers.forEach(watcher -> watcher.call().answer(null, epoch, true));
+        watchers.clear();
+    }
+
+    /** Returns the lease under which a key was written, empty if it is absent or has none. */
+    synchronized Optional<Long> leaseOf(String key) {
+        endExpiredLeases();
+        return Optional.ofNullable(leaseByKey.get(key));
+    }
+
+    /** Returns the value of a key, empty if it is absent. */
+    synchronized Optional<byte[]> value(String key) {
+        endExpiredLeases();
+        return Optional.ofNullable(items.get(key)).map(KeyValueStore.Item::value);
+    }
+
     synchronized long put(String key, byte[] value) {
         KeyValueStore.Item item = new KeyValueStore.Item(key, value, ++revision);
         items.put(key, item);
@@ -88,12 +155,12 @@
         }
     }
 
-    private static void deliver(Watcher watcher, KeyValueStore.WatchResult changes) {
+    private void deliver(Watcher watcher, KeyValueStore.WatchResult changes) {
         try {
-            watcher.executor().execute(() -> watcher.future().complete(changes));
+            watcher.call().answer(changes, epoch, false);
         } catch (RejectedExecutionException e) {
             // The watching node has stopped; the write that triggered the notification must not fail.
-            watcher.future().cancel(false);
+            watcher.call().future().cancel(false);
         }
     }
 
@@ -104,21 +171,34 @@
 
     private final class Client implements KeyValueStore {
         private final Executor executor;
+        private final StoreEpochs epochs = new StoreEpochs();
 
         Client(Executor executor) {
             this.executor = executor;
         }
 
+        @Override
+        public void onRestore(Runnable listener) {
+            epochs.onRestore(listener);
+        }
+
+        @Override
+        public OptionalLong epoch() {
+            return epochs.current();
+        }
+
+        private <T> Call<T> newCall(boolean boundToEpoch) {
+            return new Call<>(executor, epochs, epochs.restores(), boundToEpoch, new CompletableFuture<>());
+        }
+
         private <T> CompletableFuture<T> respond(T value) {
-            CompletableFuture<T> future = new CompletableFuture<>();
-            executor.execute(() -> {
-                if (down) {
-                    future.completeExceptionally(new StoreUnavailableException("down"));
-                } else {
-                    future.complete(value);
-                }
-            });
-            return future;
+            return respond(value, false);
+        }
+
+        private <T> CompletableFuture<T> respond(T value, boolean boundToEpoch) {
+            Call<T> call = newCall(boundToEpoch);
+            call.answer(value, epoch, down);
+            return call.future();
         }
 
         @Override
@@ -149,11 +229,11 @@
                         .map(item -> new Change(item.key(), Optional.of(item)))
                         .toList();
                 if (!missed.isEmpty() || down) {
-                    return respond(new WatchResult(missed, revision, false));
+                    return respond(new WatchResult(missed, revision, false), true);
                 }
-                CompletableFuture<WatchResult> future = new CompletableFuture<>();
-                watchers.add(new Watcher(prefix, executor, future));
-                return future;
+                Call<WatchResult> call = newCall(true);
+                watchers.add(new Watcher(prefix, call));
+                return call.future();
             }
         }
 
@@ -172,7 +252,7 @@
                 if (!down) {
                     leases.computeIfPresent(lease, (id, running) -> Lease.startingNow(running.lifetimeNanos()));
                 }
-                return respond(leases.containsKey(lease));
+                return respond(leases.containsKey(lease), true);
             }
         }
 
@@ -181,7 +261,7 @@
             if (!down) {
                 MemoryStore.this.endLease(lease);
             }
-            return respond(null);
+            return respond(null, true);
         }
 
         @Override
@@ -191,10 +271,10 @@
                 Item stored = items.get(key);
                 long current = stored == null ? 0 : stored.revision();
                 if (down || current != expectedRevision || !leases.containsKey(lease)) {
-                    return respond(Optional.empty());
+                    return respond(Optional.empty(), true);
                 }
                 leaseByKey.put(key, lease);
-                return respond(Optional.of(put(key, value)));
+                return respond(Optional.of(put(key, value)), true);
             }
         }
 
@@ -203,10 +283,10 @@
             synchronized (MemoryStore.this) {
                 Item stored = items.get(key);
                 if (down || stored == null || stored.revision() != expectedRevision) {
-                    return respond(false);
+                    return respond(false, true);
                 }
                 MemoryStore.this.remove(key);
-                return respond(true);
+                return respond(true, true);
             }
         }
 
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RateClaimsTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RateClaimsTest.java
@@ -129,7 +129,7 @@
     private RateClaims claims(Incarnation incarnation) {
         ClaimPlanner plan = new ClaimPlanner(SELF, incarnation, ZONE, List.of(ZONE));
         StoreNotes notes = new StoreNotes(new SidecarMetrics());
-        return new RateClaims(SELF, incarnation, plan, client, notes, new RateClaims.ClaimHandler() {
+        return new RateClaims(SELF, incarnation, plan, client, notes, false, time, new RateClaims.ClaimHandler() {
             @Override
             public void hold(RateClaim claim, long untilMillis) {
                 heldClaims.add(claim);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/SimulatedLimits.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SimulatedLimits.java
@@ -54,7 +54,14 @@
             tokens.configure(policies);
             ClaimPlanner plan = new ClaimPlanner(host, incarnation, zone, zones);
             claims = new RateClaims(
-                    host, incarnation, plan, client, new StoreNotes(new SidecarMetrics()), new ClaimHandler());
+                    host,
+                    incarnation,
+                    plan,
+                    client,
+                    new StoreNotes(new SidecarMetrics()),
+                    false,
+                    time,
+                    new ClaimHandler());
             store.items().forEach((key, item) -> applyChange(key, Optional.of(item)));
             time.scheduleEvery(TICK_INTERVAL_MILLIS, this::tick);
             time.scheduleEvery(RENEW_INTERVAL_MILLIS, this::renew);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/SimulatedStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SimulatedStore.java
@@ -4,12 +4,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import org.trefoilledge.configstore.StoreOutcomeUnknownException;
 import org.trefoilledge.configstore.StoreUnavailableException;
 
-/** An in-memory store with leases, on virtual time. Calls are delayed, or time out while it is unavailable. */
+/**
+ * An in-memory store with leases, on virtual time. Calls are delayed, or time out while it is unavailable. The store can
+ * be restored from a copy, and then states its epoch in each answer.
+ */
 final class SimulatedStore {
     private static final long ANSWER_DELAY_MILLIS = 4;
     private static final long TIMEOUT_MILLIS = 1_000;
@@ -24,6 +29,15 @@
     private boolean unavailable;
     private long revision;
     private long lastLease;
+    private OptionalLong epoch = OptionalLong.empty();
+
+    /** A copy of the whole store. */
+    record Copy(
+            Map<String, KeyValueStore.Item> items,
+            Map<String, Long> leaseByKey,
+            Map<Long, Long> leaseExpiries,
+            long revision,
+            long lastLease) {}
 
     SimulatedStore(VirtualTime time, BiConsumer<String, Optional<KeyValueStore.Item>> watcher) {
         this.time = time;
@@ -35,6 +49,28 @@
         unavailable = current;
     }
 
+    /** States an epoch in each answer from now on. */
+    void epoch(long current) {
+        epoch = OptionalLong.of(current);
+    }
+
+    Copy copy() {
+        return new Copy(Map.copyOf(items), Map.copyOf(leaseByKey), Map.copyOf(leaseExpiries), revision, lastLease);
+    }
+
+    /** Replaces all items and leases by those of a copy, and starts the next epoch; nodes have to list again. */
+    void restore(Copy copy) {
+        epoch = OptionalLong.of(epoch.orElse(0) + 1);
+        items.clear();
+        items.putAll(copy.items());
+        leaseByKey.clear();
+        leaseByKey.putAll(copy.leaseByKey());
+        leaseExpiries.clear();
+        leaseExpiries.putAll(copy.leaseExpiries());
+        revision = copy.revision();
+        lastLease = copy.lastLease();
+    }
+
     Map<String, KeyValueStore.Item> items() {
         return items;
     }
@@ -70,12 +106,31 @@
 
     private final class Client implements KeyValueStore {
         private final java.util.function.BooleanSupplier reachable;
+        private final StoreEpochs epochs = new StoreEpochs();
 
         Client(java.util.function.BooleanSupplier reachable) {
             this.reachable = reachable;
         }
 
+        @Override
+        public void onRestore(Runnable listener) {
+            epochs.onRestore(listener);
+        }
+
+        @Override
+        public OptionalLong epoch() {
+            return epochs.current();
+        }
+
         private <T> CompletableFuture<T> call(java.util.function.Supplier<T> effect) {
+            return call(effect, false);
+        }
+
+        private <T> CompletableFuture<T> boundCall(java.util.function.Supplier<T> effect) {
+            return call(effect, true);
+        }
+
+        private <T> CompletableFuture<T> call(java.util.function.Supplier<T> effect, boolean boundToEpoch) {
             CompletableFuture<T> answer = new CompletableFuture<>();
             if (unavailable || !reachable.getAsBoolean()) {
                 time.schedule(
@@ -83,7 +138,15 @@
                         () -> answer.completeExceptionally(new StoreUnavailableException("no answer in time")));
             } else {
                 T result = effect.get();
-                time.schedule(ANSWER_DELAY_MILLIS, () -> answer.complete(result));
+                OptionalLong stated = epoch;
+                long restoresWhenSent = epochs.restores();
+                time.schedule(ANSWER_DELAY_MILLIS, () -> {
+                    if (epochs.accept(stated, restoresWhenSent, boundToEpoch)) {
+                        answer.complete(result);
+                    } else {
+                        answer.completeExceptionally(new StoreOutcomeUnknownException("restored"));
+                    }
+                });
             }
             return answer;
         }
@@ -99,14 +162,14 @@
 
         @Override
         public CompletableFuture<Boolean> renewLease(long lease) {
-            return call(
+            return boundCall(
                     () -> leaseExpiries.computeIfPresent(lease, (id, until) -> time.millis() + leaseLifetimes.get(id))
                             != null);
         }
 
         @Override
         public CompletableFuture<Void> endLease(long lease) {
-            return call(() -> {
+            return boundCall(() -> {
                 removeLease(lease);
                 return null;
             });
@@ -114,7 +177,7 @@
 
         @Override
         public CompletableFuture<Optional<Long>> write(String key, byte[] value, long expectedRevision, long lease) {
-            return call(() -> {
+            return boundCall(() -> {
                 Item stored = items.get(key);
                 if ((stored == null ? 0 : stored.revision()) != expectedRevision || !leaseExpiries.containsKey(lease)) {
                     return Optional.empty();
@@ -129,7 +192,7 @@
 
         @Override
         public CompletableFuture<Boolean> remove(String key, long expectedRevision) {
-            return call(() -> {
+            return boundCall(() -> {
                 Item stored = items.get(key);
                 boolean matches = stored != null && stored.revision() == expectedRevision;
                 if (matches) {
