--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -88,7 +88,7 @@
         leaseByKey.putAll(copy.leaseByKey());
         revision = copy.revision();
         lastLeaseId = copy.lastLeaseId();
-        watchers.forEach(watcher -> watcher.call().answer(null, epoch, true));
+        watchers.forEach(watcher -> deliver(watcher, null, true));
         watchers.clear();
     }
 
@@ -156,10 +156,14 @@
     }
 
     private void deliver(Watcher watcher, KeyValueStore.WatchResult changes) {
+        deliver(watcher, changes, false);
+    }
+
+    private void deliver(Watcher watcher, KeyValueStore.WatchResult changes, boolean failed) {
         try {
-            watcher.call().answer(changes, epoch, false);
+            watcher.call().answer(changes, epoch, failed);
         } catch (RejectedExecutionException e) {
-            // The watching node has stopped; the write that triggered the notification must not fail.
+            // The watching node has stopped; the write or restore that triggered the notification must not fail.
             watcher.call().future().cancel(false);
         }
     }
