Treat answers with an invalid status as no answer

Cause: an upstream's response with the status 000 reached the caller, and with the header for "not executed" it counted as proof that the request had not run, so that it was sent again. Netty parses the status as any integer: 20, 1000, 0200 and +200 pass, only words and negative numbers fail. A 101 left the decoder in another protocol, and the request waited for its deadline, as it did with 104 and 199, which were skipped as interim.

Change: the decoder accepts three digits only, and UpstreamConnection fails the request at the head of a response whose status is outside 200 to 599 and not 100, 102 or 103: the connection is closed and the outcome is unknown. An answer from another sidecar without a final status counts as lost.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/PeerLinks.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/PeerLinks.java
@@ -134,8 +134,11 @@
         });
     }
 
-    private static Reply toReply(Envelope envelope, Throwable error) {
-        if (error == null && envelope.hasCallAnswer()) {
+    /** An answer without the status of a final response, as a sidecar of an earlier version can send, is none. */
+    static Reply toReply(Envelope envelope, Throwable error) {
+        if (error == null
+                && envelope.hasCallAnswer()
+                && Refusals.isFinalStatus(envelope.getCallAnswer().getStatus())) {
             return new Reply(envelope.getCallAnswer(), true);
         }
         Throwable cause = error instanceof CompletionException ? error.getCause() : error;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Refusals.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Refusals.java
@@ -6,8 +6,16 @@
 
 /** Creates and inspects refusals, the error answers that the sidecar generates in place of an upstream. */
 final class Refusals {
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_FINAL_STATUS = 599;
+
     private Refusals() {}
 
+    /** Returns whether a response with the status ends its request. */
+    static boolean isFinalStatus(int status) {
+        return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
+    }
+
     /** Creates a refusal without a retry delay. */
     static CallAnswer refusal(ErrorKind kind, String reason) {
         return refusal(kind, 0, reason);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -41,6 +41,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(UpstreamConnection.class);
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})(?![0-9])");
+    private static final Pattern STATUS = Pattern.compile("[0-9]{3}");
     /** Limit of the bytes read before the head of a response is complete. The decoder limits the head itself. */
     private static final long MAX_BYTES_BEFORE_HEAD = 64 * 1024;
     /** Limit of skipped responses per request: interim responses, and late responses to other requests. */
@@ -63,7 +64,10 @@
     /** Idle timeout that the upstream has announced in a Keep-Alive header. */
     private long keepAliveTimeoutMillis = Long.MAX_VALUE;
 
-    /** Decodes responses to HEAD requests without a body, and detects bytes that follow a response. */
+    /**
+     * Decodes responses to HEAD requests without a body, rejects statuses that are not three digits, and detects bytes that
+     * follow a response.
+     */
     private final class ResponseDecoder extends HttpResponseDecoder {
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
@@ -71,6 +75,15 @@
             return headRequest || super.isContentAlwaysEmpty(message);
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            // The library parses the status as any integer: "0200" and "+200" would pass as 200.
+            if (!STATUS.matcher(initialLine[1]).matches()) {
+                throw new IllegalArgumentException("invalid status");
+            }
+            return super.createMessage(initialLine);
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext decoderContext, Object bytes) throws Exception {
             if (responseHead == null && bytes instanceof ByteBuf buffer) {
@@ -178,6 +191,10 @@
             return;
         }
         if (part instanceof HttpResponse response) {
+            if (!hasValidStatus(response)) {
+                fail("the answer has the invalid status " + response.status().code());
+                return;
+            }
             responseHead = response;
             discardBody();
         }
@@ -186,6 +203,15 @@
         }
     }
 
+    /** Returns whether the status is that of a final response, or of an interim one that may come without being asked for. */
+    private static boolean hasValidStatus(HttpResponse response) {
+        HttpResponseStatus status = response.status();
+        return Refusals.isFinalStatus(status.code())
+                || status.equals(HttpResponseStatus.CONTINUE)
+                || status.equals(HttpResponseStatus.PROCESSING)
+                || status.equals(HttpResponseStatus.EARLY_HINTS);
+    }
+
     private void handleContent(HttpContent content) {
         int bytes = content.content().readableBytes();
         if (bytes > 0) {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamPoolTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamPoolTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.wire.SocketTransport;
@@ -124,6 +126,66 @@
         }
     }
 
+    /** Guards against an answer with such a status that reaches the caller, or is taken for a statement on execution. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "104", "199", "600", "999", "20", "1000", "0200", "+200", "abc", "-20"})
+    void responseWithAnInvalidStatusFailsAndClosesTheConnection(String status) throws Exception {
+        for (String notRun : List.of("", "X-Not-Run: 1\r\n")) {
+            assertInvalid(status, notRun);
+        }
+    }
+
+    private void assertInvalid(String status, String notRun) throws Exception {
+        try (UpstreamStub upstream = new UpstreamStub((head, socket, out) -> UpstreamStub.write(
+                out,
+                head.contains("X-Request: r1")
+                        ? "HTTP/1.1 " + status + " X\r\nX-Request: r1\r\nX-Signature: s\r\n" + notRun
+                                + "Content-Length: 0\r\n\r\n"
+                        : UpstreamStub.response("r2", "body")))) {
+            UpstreamPool pool = newPool(upstream);
+            CallAnswer answer = call(pool, "r1");
+
+            assertThat(Refusals.isRefusal(answer, ErrorKind.UPSTREAM_FAILED))
+                    .as(answer.toString())
+                    .isTrue();
+            assertThat(call(pool, "r2").getBody().toStringUtf8()).isEqualTo("body");
+            assertThat(pool.connectionsOpened()).isEqualTo(2);
+        }
+    }
+
+    /** Guards against a request that waits for its deadline because the decoder has left the protocol. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Upgrade: websocket\r\n", "Upgrade: h2c\r\n", ""})
+    void switchOfTheProtocolThatWasNotRequestedFails(String header) throws Exception {
+        try (UpstreamStub upstream = new UpstreamStub((head, socket, out) -> UpstreamStub.write(
+                out, "HTTP/1.1 101 Switching Protocols\r\nX-Request: r1\r\nX-Signature: s\r\n" + header + "\r\n"))) {
+            CallAnswer answer = call(newPool(upstream), "r1");
+
+            assertThat(Refusals.isRefusal(answer, ErrorKind.UPSTREAM_FAILED)).isTrue();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"100", "102", "103"})
+    void interimResponsesAreSkipped(String status) throws Exception {
+        try (UpstreamStub upstream = new UpstreamStub((head, socket, out) ->
+                UpstreamStub.write(out, "HTTP/1.1 " + status + " X\r\n\r\n" + UpstreamStub.response("r1", "body")))) {
+            assertThat(call(newPool(upstream), "r1").getBody().toStringUtf8()).isEqualTo("body");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"300", "404", "499", "500", "599"})
+    void otherStatusesAreAnswers(String status) throws Exception {
+        try (UpstreamStub upstream = new UpstreamStub((head, socket, out) ->
+                UpstreamStub.write(out, "HTTP/1.1 " + status + "\r\nX-Request: r1\r\nContent-Length: 0\r\n\r\n"))) {
+            CallAnswer answer = call(newPool(upstream), "r1");
+
+            assertThat(answer.getStatus()).isEqualTo(Integer.parseInt(status));
+            assertThat(Refusals.isRefusal(answer)).isFalse();
+        }
+    }
+
     @Test
     void notExecutedHeaderMeansNotRun() throws Exception {
         try (UpstreamStub upstream = new UpstreamStub((head, socket, out) ->
