Restore tests: hide changes behind revisions that are issued again

Cause: two tests of the restore did not test what they say. A follower that ignored the restore passed RestoredFleetTest, because the watch of MemoryStore delivered changes whatever their revision.

Change: a watch delivers only changes after its revision, the store fails a call by its state when the answer is delivered (as before the restore), and the test takes the store down in the listener.

--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.trefoilledge.configstore.StoreOutcomeUnknownException;
 import org.trefoilledge.configstore.StoreUnavailableException;
 
@@ -28,7 +29,7 @@
     private OptionalLong epoch = OptionalLong.empty();
     private volatile boolean down;
 
-    private record Watcher(String prefix, Call<KeyValueStore.WatchResult> call) {}
+    private record Watcher(String prefix, long afterRevision, Call<KeyValueStore.WatchResult> call) {}
 
     /** A call that is not answered yet. */
     private record Call<T>(
@@ -37,9 +38,9 @@
             long restoresWhenSent,
             boolean boundToEpoch,
             CompletableFuture<T> future) {
-        void answer(T value, OptionalLong epoch, boolean down) {
+        void answer(T value, OptionalLong epoch, BooleanSupplier failed) {
             executor.execute(() -> {
-                if (down) {
+                if (failed.getAsBoolean()) {
                     future.completeExceptionally(new StoreUnavailableException("down"));
                 } else if (!epochs.accept(epoch, restoresWhenSent, boundToEpoch)) {
                     future.completeExceptionally(new StoreOutcomeUnknownException("restored"));
@@ -88,7 +89,7 @@
         leaseByKey.putAll(copy.leaseByKey());
         revision = copy.revision();
         lastLeaseId = copy.lastLeaseId();
-        watchers.forEach(watcher -> deliver(watcher, null, true));
+        watchers.forEach(watcher -> deliver(watcher, null, () -> true));
         watchers.clear();
     }
 
@@ -145,7 +146,7 @@
         List<Watcher> notified = new ArrayList<>(watchers);
         watchers.clear();
         for (Watcher watcher : notified) {
-            if (!key.startsWith(watcher.prefix())) {
+            if (!key.startsWith(watcher.prefix()) || revision <= watcher.afterRevision()) {
                 watchers.add(watcher);
                 continue;
             }
@@ -156,10 +157,10 @@
     }
 
     private void deliver(Watcher watcher, KeyValueStore.WatchResult changes) {
-        deliver(watcher, changes, false);
+        deliver(watcher, changes, () -> false);
     }
 
-    private void deliver(Watcher watcher, KeyValueStore.WatchResult changes, boolean failed) {
+    private void deliver(Watcher watcher, KeyValueStore.WatchResult changes, BooleanSupplier failed) {
         try {
             watcher.call().answer(changes, epoch, failed);
         } catch (RejectedExecutionException e) {
@@ -201,7 +202,7 @@
 
         private <T> CompletableFuture<T> respond(T value, boolean boundToEpoch) {
             Call<T> call = newCall(boundToEpoch);
-            call.answer(value, epoch, down);
+            call.answer(value, epoch, () -> down);
             return call.future();
         }
 
@@ -236,7 +237,7 @@
                     return respond(new WatchResult(missed, revision, false), true);
                 }
                 Call<WatchResult> call = newCall(true);
-                watchers.add(new Watcher(prefix, call));
+                watchers.add(new Watcher(prefix, afterRevision, call));
                 return call.future();
             }
         }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RestoredFleetTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RestoredFleetTest.java
@@ -62,15 +62,12 @@
     @Test
     void changesAfterTheRestoreReachTheNodesAlthoughTheirRevisionsWereUsedBefore() throws Exception {
         MemoryStore.Copy copy = fleet.store().copy();
-        for (int i = 0; i < 5; i++) {
-            fleet.store().put(Directory.NODE_PREFIX + "gone-" + i, new byte[] {'{'});
+        for (int i = 0; i < 200; i++) {
+            fleet.store().put("else/" + i, new byte[0]);
         }
         Thread.sleep(1_000);
         fleet.store().restore(copy);
         fleet.writeConfig("2 k2");
-        for (int i = 0; i < 8; i++) {
-            fleet.store().put("else/" + i, new byte[0]);
-        }
         first.awaitStatus("/orders/1", "k2", 200);
         second.awaitStatus("/orders/1", "k2", 200);
         TestFleet.Host third = fleet.start("host-3", TRACKING);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RestoredStoreTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RestoredStoreTest.java
@@ -126,7 +126,8 @@
         DepartureStore departures = startDepartures(new ArrayList<>());
         save(departures).get(5, TimeUnit.SECONDS);
         store.restore(empty);
-        client.read("other").whenComplete((item, error) -> store.down(true)).get(5, TimeUnit.SECONDS);
+        client.onRestore(() -> store.down(true));
+        client.read("other").get(5, TimeUnit.SECONDS);
         CompletableFuture<Void> saved = save(departures);
         Thread.sleep(500);
         assertThat(saved).isNotDone();
