Limit call trees by the retries that failing services allow: mechanism usable

Cause: when every upstream of the deepest service rejects 55% of its calls, all trees are admitted, retries are spread over all of them, and nearly none of them completes.

The decisions about attempts and host back-off move from Dispatcher to AttemptPolicy and HostBackoff. AdmittedPart tells which resource limits a class. Without the feature the budget and the attempts are as before.

--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
@@ -1,23 +1,41 @@
 package org.trefoilledge.core.admission;
 
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The fraction of each class of root requests that is admitted. Immutable.
  *
  * @param admittedFractions fractions from 0 to 1; classes that are absent are admitted in full
+ * @param limitedByRetries classes that are limited because the retries of their call trees are scarce, not the slots
  */
-public record AdmissionPlan(Map<RequestClass, Double> admittedFractions) {
+public record AdmissionPlan(Map<RequestClass, Double> admittedFractions, Set<RequestClass> limitedByRetries) {
     /** Admits all requests. */
     public static final AdmissionPlan ADMIT_ALL = new AdmissionPlan(Map.of());
 
-    /** Copies the map. */
+    /** Copies the collections. */
     public AdmissionPlan {
         admittedFractions = Map.copyOf(admittedFractions);
+        limitedByRetries = Set.copyOf(limitedByRetries);
+    }
+
+    /** Creates a plan whose classes are limited by slots only. */
+    public AdmissionPlan(Map<RequestClass, Double> admittedFractions) {
+        this(admittedFractions, Set.of());
     }
 
     /** Returns the fraction of the class that is admitted, from 0 to 1. */
     public double admittedFraction(RequestClass requestClass) {
         return admittedFractions.getOrDefault(requestClass, 1.0);
     }
+
+    /** Returns whether the plan refuses requests of the class. */
+    public boolean limits(RequestClass requestClass) {
+        return admittedFraction(requestClass) < 1;
+    }
+
+    /** Returns whether the class is limited because the retries of its call trees are scarce. */
+    public boolean isLimitedByRetries(RequestClass requestClass) {
+        return limitedByRetries.contains(requestClass);
+    }
 }
--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
@@ -4,8 +4,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
@@ -18,13 +20,25 @@
  * reports of the nodes, the planner computes the slot time that the requests of each class need at each service, and
  * admits the most important classes first until a service is exhausted. Classes of equal rank that need an exhausted
  * service are admitted in equal fractions. Nodes with the same reports compute the same plan, and nodes of a
- * partitioned zone plan for the services that they can reach. Not thread-safe.
+ * partitioned zone plan for the services that they can reach.
+ *
+ * <p>If retries are bounded, the planner also answers services whose upstreams reject a part of their calls: the retries
+ * that call trees need there are a resource beside the slots. A class that would complete more trees without this
+ * limit, because its trees make few such calls, is exempt from it. Not thread-safe.
  */
 public final class AdmissionPlanner {
     /** Fraction of a service's slots that a plan may use; at full utilisation, queues grow without bound. */
     private static final double MAX_UTILISATION = 0.92;
     /** Every class is admitted at least in this fraction, so that a decrease of its cost is still measured. */
     private static final double MIN_ADMITTED_FRACTION = 0.05;
+    /** The same for classes limited by retries, whose trees mostly fail; other calls reveal the end of the failures. */
+    private static final double MAX_MINIMUM_BY_RETRIES = 0.01;
+    /** Smallest value of that fraction; some calls per second are enough. */
+    private static final double MIN_MINIMUM_BY_RETRIES = 0.001;
+    /** Part of the retries that these fractions may use. */
+    private static final double MINIMUM_SHARE_OF_RETRIES = 0.03;
+    /** Factor by which an exemption from the limit by retries has to increase the completed trees. */
+    private static final double MIN_EXEMPTION_GAIN = 1.1;
 
     /** Bounds of the correction factor of a service's capacity. */
     private static final double MIN_CORRECTION = 0.7;
@@ -38,7 +52,12 @@
     private static final double LOW_UTILISATION = 0.88;
 
     private final Map<ServiceId, Double> capacityCorrections = new HashMap<>();
+    private final Optional<FailingServices> failingServices;
     private Set<ServiceId> saturatedServices = Set.of();
+    /** Costs as of the last plan without failing services; null until then. */
+    private CallTreeCosts healthyCosts;
+    /** Classes that the last plan exempted from the limit by retries. */
+    private Set<RequestClass> exemptClasses = Set.of();
 
     private static final class ServiceLoad {
         private double slots;
@@ -47,24 +66,158 @@
         private int nodes;
     }
 
+    /** Creates a planner that ignores retries. */
+    public AdmissionPlanner() {
+        failingServices = Optional.empty();
+    }
+
+    /**
+     * Creates a planner that admits no more call trees than the retries allow while upstreams reject calls.
+     *
+     * @param bounds retries of the whole fleet
+     */
+    public AdmissionPlanner(RetryBounds bounds) {
+        failingServices = Optional.of(new FailingServices(bounds));
+    }
+
     /**
      * Computes a plan from the latest loads of all reachable nodes.
      *
      * @param splits returns the services of a route, or null for an unknown route
+     * @param now current time in milliseconds
      */
-    public AdmissionPlan plan(Collection<NodeLoad> nodes, Function<RouteId, TrafficSplit> splits) {
+    public AdmissionPlan plan(Collection<NodeLoad> nodes, Function<RouteId, TrafficSplit> splits, long now) {
         Map<ServiceId, ServiceLoad> services = sumByService(nodes);
         updateCorrections(services);
         CallTreeCosts costs = new CallTreeCosts(nodes, splits);
-        Map<ServiceId, Double> available = new HashMap<>();
-        services.forEach((id, service) ->
-                available.put(id, service.slots * MAX_UTILISATION * 1_000 * capacityCorrections.getOrDefault(id, 1.0)));
-        Map<RequestClass, Double> fractions = new HashMap<>();
-        Set<ServiceId> exhausted = new HashSet<>();
-        arrivalsByRank(nodes).forEach((rank, arrivals) -> admitRank(arrivals, costs, available, fractions, exhausted));
-        saturatedServices = exhausted;
-        fractions.replaceAll((requestClass, fraction) -> Math.max(MIN_ADMITTED_FRACTION, fraction));
-        return new AdmissionPlan(fractions);
+        Map<Resource, Double> available = availableSlots(services);
+        Map<Integer, Map<RequestClass, Double>> arrivals = arrivalsByRank(nodes);
+        failingServices.ifPresent(failing -> failing.record(nodes, now));
+        Allocation allocation = failingServices
+                .filter(failing -> !failing.isEmpty())
+                .map(failing -> allocateRetries(arrivals, costs, available, failing))
+                .orElseGet(() -> allocateSlots(arrivals, costs, available));
+        saturatedServices = allocation.saturatedServices();
+        return allocation.toPlan();
+    }
+
+    private Allocation allocateSlots(
+            Map<Integer, Map<RequestClass, Double>> arrivals, CallTreeCosts costs, Map<Resource, Double> available) {
+        healthyCosts = costs;
+        exemptClasses = Set.of();
+        return new Allocation(available, MIN_ADMITTED_FRACTION, requests -> slotNeeds(costs, requests))
+                .admitAll(arrivals);
+    }
+
+    /** Allocates slots and the retries of the failing services. */
+    private Allocation allocateRetries(
+            Map<Integer, Map<RequestClass, Double>> arrivals,
+            CallTreeCosts costs,
+            Map<Resource, Double> available,
+            FailingServices failing) {
+        Map<ServiceId, Double> arrivalsPerCall = new HashMap<>();
+        for (ServiceId service : failing.rejectionRates().keySet()) {
+            arrivalsPerCall.put(service, 1 + failing.retriesPerCall(service));
+        }
+        if (healthyCosts != null) {
+            costs.correctForFailures(healthyCosts, arrivalsPerCall);
+        }
+        Map<RequestClass, Double> allArrivals = new HashMap<>();
+        arrivals.values().forEach(allArrivals::putAll);
+        double minFraction = MAX_MINIMUM_BY_RETRIES;
+        for (ServiceId service : failing.rejectionRates().keySet()) {
+            double retries = failing.retriesPerSecond(service) - rootRetries(allArrivals, costs, failing, service);
+            double needed = neededRetries(allArrivals, costs, failing, service);
+            minFraction = Math.min(minFraction, MINIMUM_SHARE_OF_RETRIES * retries / Math.max(1e-9, needed));
+            available.put(new Resource(service, Resource.Kind.RETRIES), retries - minFraction * needed);
+        }
+        double minimum = Math.max(MIN_MINIMUM_BY_RETRIES, minFraction);
+        CompletionModel model = new CompletionModel(allArrivals, costs, failing);
+        Function<Set<RequestClass>, Allocation> allocate =
+                exempt -> new Allocation(available, minimum, requests -> needs(costs, failing, requests, exempt))
+                        .admitAll(arrivals);
+        return exemptClasses(allocate, model);
+    }
+
+    /** Returns the retries per second of the root requests to the service itself. */
+    private static double rootRetries(
+            Map<RequestClass, Double> arrivals, CallTreeCosts costs, FailingServices failing, ServiceId service) {
+        if (!failing.grantsRootRetries(service)) {
+            return 0;
+        }
+        return failing.retriesPerCall(service)
+                * arrivals.entrySet().stream()
+                        .mapToDouble(entry -> entry.getValue()
+                                * costs.rootRetryCost(entry.getKey().route(), service))
+                        .sum();
+    }
+
+    /** Returns the retries per second that all call trees would need at the service. */
+    private static double neededRetries(
+            Map<RequestClass, Double> arrivals, CallTreeCosts costs, FailingServices failing, ServiceId service) {
+        return failing.retriesPerCall(service)
+                * arrivals.entrySet().stream()
+                        .mapToDouble(entry -> entry.getValue()
+                                * costs.nestedRetryCost(entry.getKey().route(), service))
+                        .sum();
+    }
+
+    /**
+     * Returns the allocation in which those classes are exempt from the limit by retries of which more trees complete
+     * that way. The classes are tried in the order of the plan, each in addition to those accepted before.
+     */
+    private Allocation exemptClasses(Function<Set<RequestClass>, Allocation> allocate, CompletionModel model) {
+        Set<RequestClass> exempt = new HashSet<>();
+        Allocation best = allocate.apply(exempt);
+        double bestCompletions = model.completionsPerSecond(best.toPlan());
+        for (RequestClass requests : List.copyOf(best.limitedByRetries())) {
+            Set<RequestClass> candidate = new HashSet<>(exempt);
+            candidate.add(requests);
+            Allocation allocation = allocate.apply(candidate);
+            double completions = model.completionsPerSecond(allocation.toPlan());
+            // An exemption in force is kept as long as it is no worse by the same factor, so that plans do not
+            // alternate.
+            double requiredGain = exemptClasses.contains(requests) ? 1 / MIN_EXEMPTION_GAIN : MIN_EXEMPTION_GAIN;
+            if (completions > requiredGain * bestCompletions) {
+                exempt = candidate;
+                best = allocation;
+                bestCompletions = completions;
+            }
+        }
+        exemptClasses = exempt;
+        return best;
+    }
+
+    private Map<Resource, Double> availableSlots(Map<ServiceId, ServiceLoad> services) {
+        Map<Resource, Double> available = new HashMap<>();
+        services.forEach((id, service) -> available.put(
+                new Resource(id, Resource.Kind.SLOTS),
+                service.slots * MAX_UTILISATION * 1_000 * capacityCorrections.getOrDefault(id, 1.0)));
+        return available;
+    }
+
+    private static Map<Resource, Double> slotNeeds(CallTreeCosts costs, RequestClass requests) {
+        Map<Resource, Double> needs = new HashMap<>();
+        costs.slotMillis(requests.route()).forEach((service, millis) -> {
+            if (millis > 0) {
+                needs.put(new Resource(service, Resource.Kind.SLOTS), millis);
+            }
+        });
+        return needs;
+    }
+
+    private static Map<Resource, Double> needs(
+            CallTreeCosts costs, FailingServices failing, RequestClass requests, Set<RequestClass> exempt) {
+        Map<Resource, Double> needs = slotNeeds(costs, requests);
+        if (!exempt.contains(requests)) {
+            costs.nestedCalls(requests.route()).forEach((service, calls) -> {
+                double retries = calls.retryCost() * failing.retriesPerCall(service);
+                if (retries > 0) {
+                    needs.put(new Resource(service, Resource.Kind.RETRIES), retries);
+                }
+            });
+        }
+        return needs;
     }
 
     /** Sums the loads of the nodes whose upstream accepts requests. */
@@ -112,64 +265,122 @@
         return ranks;
     }
 
-    /**
-     * Raises the admitted fractions of all classes of one rank together. A class keeps the fraction reached when a
-     * service that it needs is exhausted.
-     *
-     * @param available slot milliseconds per second left at each service; reduced by what is admitted
-     * @param fractions receives the classes that are not admitted in full
-     * @param saturated receives the exhausted services
-     */
-    private static void admitRank(
-            Map<RequestClass, Double> arrivals,
-            CallTreeCosts costs,
-            Map<ServiceId, Double> available,
-            Map<RequestClass, Double> fractions,
-            Set<ServiceId> saturated) {
-        List<RequestClass> growing = new ArrayList<>(arrivals.keySet());
-        double fraction = 0;
-        while (!growing.isEmpty() && fraction < 1) {
-            Map<ServiceId, Double> need = new HashMap<>();
-            for (RequestClass requestClass : growing) {
-                double perSecond = arrivals.get(requestClass);
-                costs.slotMillis(requestClass.route())
-                        .forEach((service, cost) -> need.merge(service, cost * perSecond, Double::sum));
-            }
-            double step = 1 - fraction;
-            for (Map.Entry<ServiceId, Double> entry : need.entrySet()) {
-                double remaining = Math.max(0, available.getOrDefault(entry.getKey(), 0.0));
-                if (entry.getValue() > 0) {
-                    step = Math.min(step, remaining / entry.getValue());
+    /** Allocates resources to classes, most important rank first. */
+    private static final class Allocation {
+        private final Map<Resource, Double> available;
+        private final double minimumByRetries;
+        private final Function<RequestClass, Map<Resource, Double>> needsOf;
+        private final Map<RequestClass, Map<Resource, Double>> needs = new HashMap<>();
+        /** The classes that are not admitted in full. */
+        private final Map<RequestClass, Double> fractions = new HashMap<>();
+
+        private final Set<Resource> exhausted = new HashSet<>();
+        private final Set<RequestClass> limitedByRetries = new LinkedHashSet<>();
+
+        /**
+         * Creates an allocation.
+         *
+         * @param available resources at the start
+         * @param minimumByRetries smallest admitted fraction of a class that is limited by retries
+         * @param needsOf returns what one request of a class needs
+         */
+        Allocation(
+                Map<Resource, Double> available,
+                double minimumByRetries,
+                Function<RequestClass, Map<Resource, Double>> needsOf) {
+            this.available = new HashMap<>(available);
+            this.minimumByRetries = minimumByRetries;
+            this.needsOf = needsOf;
+        }
+
+        Allocation admitAll(Map<Integer, Map<RequestClass, Double>> arrivalsByRank) {
+            arrivalsByRank.values().forEach(this::admitRank);
+            return this;
+        }
+
+        Set<RequestClass> limitedByRetries() {
+            return limitedByRetries;
+        }
+
+        /** Returns the services whose slots are exhausted. */
+        Set<ServiceId> saturatedServices() {
+            Set<ServiceId> services = new HashSet<>();
+            exhausted.stream()
+                    .filter(resource -> resource.kind() == Resource.Kind.SLOTS)
+                    .forEach(resource -> services.add(resource.service()));
+            return services;
+        }
+
+        AdmissionPlan toPlan() {
+            Map<RequestClass, Double> admitted = new HashMap<>();
+            fractions.forEach((requests, fraction) -> {
+                double min = limitedByRetries.contains(requests) ? minimumByRetries : MIN_ADMITTED_FRACTION;
+                admitted.put(requests, Math.max(min, fraction));
+            });
+            return new AdmissionPlan(admitted, limitedByRetries);
+        }
+
+        private Map<Resource, Double> needs(RequestClass requests) {
+            return needs.computeIfAbsent(requests, needsOf);
+        }
+
+        /**
+         * Raises the admitted fractions of all classes of one rank together. A class keeps the fraction reached when a
+         * resource that it needs is exhausted.
+         */
+        private void admitRank(Map<RequestClass, Double> arrivals) {
+            List<RequestClass> growing = new ArrayList<>(arrivals.keySet());
+            double fraction = 0;
+            while (!growing.isEmpty() && fraction < 1) {
+                Map<Resource, Double> total = new HashMap<>();
+                for (RequestClass requests : growing) {
+                    double perSecond = arrivals.get(requests);
+                    needs(requests).forEach((resource, need) -> total.merge(resource, need * perSecond, Double::sum));
+                }
+                double step = 1 - fraction;
+                for (Map.Entry<Resource, Double> entry : total.entrySet()) {
+                    double remaining = Math.max(0, available.getOrDefault(entry.getKey(), 0.0));
+                    if (entry.getValue() > 0) {
+                        step = Math.min(step, remaining / entry.getValue());
+                    }
+                }
+                double addedFraction = step;
+                total.forEach((resource, need) -> available.merge(resource, -need * addedFraction, Double::sum));
+                fraction += step;
+                Set<Resource> newlyExhausted = findExhausted(total);
+                exhausted.addAll(newlyExhausted);
+                stopGrowth(growing, fraction, newlyExhausted);
+                if (newlyExhausted.isEmpty()) {
+                    break;
                 }
             }
-            double addedFraction = step;
-            need.forEach((service, slotMillis) -> available.merge(service, -slotMillis * addedFraction, Double::sum));
-            fraction += step;
-            double reachedFraction = fraction;
-            Set<ServiceId> exhausted = findExhausted(need, available);
-            saturated.addAll(exhausted);
-            growing.removeIf(requestClass -> {
-                boolean limited = reachedFraction < 1
-                        && costs.slotMillis(requestClass.route()).entrySet().stream()
-                                .anyMatch(cost -> cost.getValue() > 0 && exhausted.contains(cost.getKey()));
+        }
+
+        private Set<Resource> findExhausted(Map<Resource, Double> total) {
+            Set<Resource> found = new HashSet<>();
+            total.forEach((resource, need) -> {
+                if (need > 0 && available.getOrDefault(resource, 0.0) <= 1e-6 * need) {
+                    found.add(resource);
+                }
+            });
+            return found;
+        }
+
+        private void stopGrowth(List<RequestClass> growing, double fraction, Set<Resource> newlyExhausted) {
+            growing.removeIf(requests -> {
+                Set<Resource> needed = needs(requests).keySet();
+                boolean limited = fraction < 1 && needed.stream().anyMatch(newlyExhausted::contains);
                 if (limited) {
-                    fractions.put(requestClass, reachedFraction);
+                    fractions.put(requests, fraction);
+                    // Without retries, most admitted trees fail, also if slots have limited the class first.
+                    if (needed.stream()
+                            .anyMatch(resource ->
+                                    resource.kind() == Resource.Kind.RETRIES && exhausted.contains(resource))) {
+                        limitedByRetries.add(requests);
+                    }
                 }
                 return limited;
             });
-            if (exhausted.isEmpty()) {
-                break;
-            }
         }
     }
-
-    private static Set<ServiceId> findExhausted(Map<ServiceId, Double> need, Map<ServiceId, Double> available) {
-        Set<ServiceId> exhausted = new HashSet<>();
-        need.forEach((service, slotMillis) -> {
-            if (slotMillis > 0 && available.getOrDefault(service, 0.0) <= 1e-6 * slotMillis) {
-                exhausted.add(service);
-            }
-        });
-        return exhausted;
-    }
 }
--- a/core/src/main/java/org/trefoilledge/core/admission/NodeLoad.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/NodeLoad.java
@@ -19,6 +19,8 @@
  * @param queueDelayMillis time for which calls wait for a slot, averaged over the nodes
  * @param arrivals root requests per second received from callers by request class, including refused requests
  * @param executions executions at the upstream by route
+ * @param offeredPerSecond calls per second that were passed to the upstreams
+ * @param rejectedPerSecond calls per second that the upstreams rejected, or failed for a reason of their own
  */
 public record NodeLoad(
         ServiceId service,
@@ -27,7 +29,9 @@
         double busySlots,
         double queueDelayMillis,
         Map<RequestClass, Double> arrivals,
-        Map<RouteId, RouteLoad> executions) {
+        Map<RouteId, RouteLoad> executions,
+        double offeredPerSecond,
+        double rejectedPerSecond) {
     /** Copies the maps. */
     public NodeLoad {
         Objects.requireNonNull(service, "service");
@@ -35,7 +39,7 @@
         executions = Map.copyOf(executions);
     }
 
-    /** Creates the load of one node. */
+    /** Creates the load of one node whose upstream rejects no calls. */
     public static NodeLoad of(
             ServiceId service,
             int slots,
@@ -43,7 +47,13 @@
             double queueDelayMillis,
             Map<RequestClass, Double> arrivals,
             Map<RouteId, RouteLoad> executions) {
-        return new NodeLoad(service, slots > 0 ? 1 : 0, slots, busySlots, queueDelayMillis, arrivals, executions);
+        return new NodeLoad(service, slots > 0 ? 1 : 0, slots, busySlots, queueDelayMillis, arrivals, executions, 0, 0);
+    }
+
+    /** Returns this load with the given rates of calls passed to the upstream and of those that it rejected. */
+    public NodeLoad withRejections(double offered, double rejected) {
+        return new NodeLoad(
+                service, nodes, slots, busySlots, queueDelayMillis, arrivals, executions, offered, rejected);
     }
 
     /** Returns the sums of the loads of several nodes, one for each service. */
@@ -60,6 +70,8 @@
         int slots = 0;
         double busySlots = 0;
         double delaySum = 0;
+        double offered = 0;
+        double rejected = 0;
         Map<RequestClass, Double> arrivals = new HashMap<>();
         Map<RouteId, RouteLoad> executions = new HashMap<>();
         for (NodeLoad load : loads) {
@@ -67,6 +79,8 @@
             slots += load.slots();
             // An upstream that accepts no requests announces no slots, although executions may still occupy some.
             busySlots += load.slots() > 0 ? load.busySlots() : 0;
+            offered += load.offeredPerSecond();
+            rejected += load.rejectedPerSecond();
             delaySum += load.nodes() * load.queueDelayMillis();
             load.arrivals().forEach((requestClass, perSecond) -> arrivals.merge(requestClass, perSecond, Double::sum));
             load.executions().forEach((route, routeLoad) -> executions.merge(route, routeLoad, RouteLoad::plus));
@@ -78,6 +92,8 @@
                 busySlots,
                 nodes == 0 ? 0 : delaySum / nodes,
                 arrivals,
-                executions);
+                executions,
+                offered,
+                rejected);
     }
 }
--- a/core/src/main/java/org/trefoilledge/core/overload/RetryThrottle.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/RetryThrottle.java
@@ -4,7 +4,7 @@
  * Limits the retries to one service to a fraction of its requests, with a small reserve for bursts of failures. Each
  * request adds a fraction of a token and each retry consumes tokens. Thread-safe.
  */
-public final class RetryThrottle {
+public final class RetryThrottle implements RetryBudget {
     private static final double DEFAULT_RATIO = 0.1;
     private static final double DEFAULT_RESERVE = 10;
     private static final long WINDOW_MILLIS = 10_000;
@@ -34,6 +34,7 @@
     }
 
     /** Records the first attempt of a request. */
+    @Override
     public synchronized void recordRequest(long now) {
         advanceWindow(now);
         windowTokens += ratio;
@@ -55,6 +56,18 @@
         return true;
     }
 
+    /** {@inheritDoc} Nested calls and root requests are treated alike. */
+    @Override
+    public boolean tryRetry(double cost, boolean nested, long now) {
+        return tryRetry(cost, now);
+    }
+
+    /** Returns a new throttle, without the tokens of this one. */
+    @Override
+    public RetryBudget withLimits(double newRatio, double newReserve) {
+        return new RetryThrottle(newRatio, newReserve);
+    }
+
     /** Drops the tokens of all but the last two windows, so that old requests do not allow a burst of retries. */
     private void advanceWindow(long now) {
         if (windowStartMillis == Long.MIN_VALUE) {
--- a/core/src/test/java/org/trefoilledge/core/admission/AdmissionPlannerTest.java
+++ b/core/src/test/java/org/trefoilledge/core/admission/AdmissionPlannerTest.java
@@ -75,7 +75,7 @@
                 0,
                 Map.of(LISTS, 10.0),
                 Map.of(LIST, new RouteLoad(10, 50, Map.of(LOOKUP, 8.0)), LOOKUP, new RouteLoad(0, 0, Map.of()))));
-        AdmissionPlan plan = new AdmissionPlanner().plan(nodes, AdmissionPlannerTest::split);
+        AdmissionPlan plan = new AdmissionPlanner().plan(nodes, AdmissionPlannerTest::split, 0);
 
         assertThat(plan.admittedFraction(LISTS)).isBetween(0.05, 1.0);
     }
@@ -96,9 +96,9 @@
             nodes.add(
                     NodeLoad.of(DEEP, 4 + i, i, 3 * i, Map.of(), Map.of(LOOKUP, new RouteLoad(100 * i, 15, Map.of()))));
         }
-        AdmissionPlan planOfNodes = new AdmissionPlanner().plan(nodes, AdmissionPlannerTest::split);
+        AdmissionPlan planOfNodes = new AdmissionPlanner().plan(nodes, AdmissionPlannerTest::split, 0);
         AdmissionPlan planOfSums =
-                new AdmissionPlanner().plan(NodeLoad.sumByService(nodes), AdmissionPlannerTest::split);
+                new AdmissionPlanner().plan(NodeLoad.sumByService(nodes), AdmissionPlannerTest::split, 0);
 
         assertThat(planOfNodes.admittedFraction(LISTS)).isLessThan(0.9);
         assertThat(planOfSums.admittedFraction(LISTS)).isCloseTo(planOfNodes.admittedFraction(LISTS), within(1e-6));
@@ -137,7 +137,7 @@
                         STATUS, new RouteLoad(statuses, 150, Map.of())));
         NodeLoad deep = NodeLoad.of(
                 DEEP, 40, busySlots, queueDelayMillis, Map.of(), Map.of(LOOKUP, new RouteLoad(1_000, 15, Map.of())));
-        return planner.plan(List.of(front, deep), AdmissionPlannerTest::split);
+        return planner.plan(List.of(front, deep), AdmissionPlannerTest::split, 0);
     }
 
     private static TrafficSplit split(RouteId route) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -12,7 +12,9 @@
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.admission.AdmissionPlan;
+import org.trefoilledge.core.admission.AdmissionPlanner;
 import org.trefoilledge.core.admission.NodeLoad;
+import org.trefoilledge.core.admission.RetryBounds;
 import org.trefoilledge.core.placement.Candidate;
 import org.trefoilledge.core.rate.ClaimPlanner;
 import org.trefoilledge.core.rate.RateClaim;
@@ -33,6 +35,8 @@
     private static final long ZONE_EXCHANGE_INTERVAL_MILLIS = 400;
     /** Used share of the fleet's retry allowance; below 1, because retried requests also repeat their own calls. */
     private static final double RETRY_BUDGET_SHARE = 0.3;
+    /** The same with tree admission, whose budget is a sliding window; the rest covers the calls of retried executions. */
+    private static final double TREE_RETRY_BUDGET_SHARE = 0.7;
     /** Delay before the first listing when the whole fleet starts, in which all nodes write their entries. */
     private static final long FIRST_START_LIST_DELAY_MILLIS = 1_500;
     /** Delay between following the store and claiming; before, other candidates for a claim may not be known yet. */
@@ -44,6 +48,7 @@
     private final Clock clock;
     private final ConfigState configState;
     private final TrafficPlane traffic;
+    private final boolean treeAdmission;
     private final Registration registration;
     private final StoreFollower follower;
     private final Directory directory;
@@ -77,6 +82,8 @@
         this.clock = clock;
         this.configState = configState;
         this.traffic = traffic;
+        this.treeAdmission =
+                settings.enabledFeatures(platform.features(settings.terms())).contains(Feature.TREE_ADMISSION);
         StoreNotes notes = new StoreNotes(metrics);
         registration = new Registration(control, store, notes, leaseClock, random, this::reloadDepartures);
         ClaimPlanner plan = new ClaimPlanner(settings.host(), incarnation, settings.zone(), settings.zones());
@@ -86,7 +93,15 @@
                 control, store, notes, platform, configState, directory, clock, random, new StoreListener());
         ConfigFetch configs = new ConfigFetch(control, peers, configState, follower::applyConfig);
         collector = new ZoneCollector(
-                settings.host(), settings.zone(), incarnation, peers, configState, directory, configs, clock);
+                settings.host(),
+                settings.zone(),
+                incarnation,
+                peers,
+                configState,
+                directory,
+                configs,
+                clock,
+                createPlanner());
         reports = new NodeReports(
                 settings.host(),
                 settings.zone(),
@@ -229,12 +244,21 @@
 
     private void publishMembers() {
         double nodes = directory.others().size() + 1.0;
-        double reserve = settings.bounds().retrySlack() * RETRY_BUDGET_SHARE / nodes;
-        traffic.setRetryBudget(settings.bounds().retryRatio() * RETRY_BUDGET_SHARE, reserve);
+        double share = treeAdmission ? TREE_RETRY_BUDGET_SHARE : RETRY_BUDGET_SHARE;
+        double reserve = settings.bounds().retrySlack() * share / nodes;
+        traffic.setRetryBudget(settings.bounds().retryRatio() * share, reserve);
         publishCandidates();
         publishHoldersIfChanged();
     }
 
+    private AdmissionPlanner createPlanner() {
+        SidecarSettings.Bounds bounds = settings.bounds();
+        return treeAdmission
+                ? new AdmissionPlanner(new RetryBounds(
+                        bounds.retryRatio() * TREE_RETRY_BUDGET_SHARE, bounds.retrySlack() * TREE_RETRY_BUDGET_SHARE))
+                : new AdmissionPlanner();
+    }
+
     private void publishCandidates() {
         List<Candidate> candidates = new ArrayList<>();
         Member self = selfEntry();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -15,8 +15,14 @@
 import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.ServiceId;
+import org.trefoilledge.core.overload.AttemptOutcome;
+import org.trefoilledge.core.overload.AttemptPolicy;
+import org.trefoilledge.core.overload.HostBackoff;
 import org.trefoilledge.core.overload.LoadReport;
+import org.trefoilledge.core.overload.RetryBudget;
+import org.trefoilledge.core.overload.RetryCost;
 import org.trefoilledge.core.overload.RetryThrottle;
+import org.trefoilledge.core.overload.SlidingRetryThrottle;
 import org.trefoilledge.core.placement.Candidate;
 import org.trefoilledge.core.placement.Placer;
 import org.trefoilledge.wire.generated.Call;
@@ -28,15 +34,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // channel events and timers report failures
 final class Dispatcher {
-    /** Limit of retries that do not count as attempts, because no upstream has received the request. */
-    private static final int MAX_UNCOUNTED_RETRIES = 4;
-    /** Time for which a host is avoided after it was unreachable, or refused a request for a reason but overload. */
-    private static final long HOST_BACKOFF_MILLIS = 500;
-    /** Cost of a retry in the retry budget if executions of the route make calls. Otherwise the cost is 1. */
-    private static final double RETRY_COST_WITH_CALLS = 3;
-    /** A request is retried only if at least this much time is left until its deadline. */
-    private static final long MIN_RETRY_TIME_MILLIS = 10;
-
     private final HostId self;
     private final UpstreamGate gate;
     private final PeerLinks peers;
@@ -45,8 +42,9 @@
     private final Clock clock;
     private final DecisionLog decisionLog;
     private final RandomGenerator random;
-    private final Map<HostId, Long> backoffUntilMillis = new HashMap<>();
-    private final Map<ServiceId, RetryThrottle> retryBudgets = new HashMap<>();
+    private final boolean treeAdmission;
+    private final HostBackoff hostBackoff = new HostBackoff();
+    private final Map<ServiceId, RetryBudget> retryBudgets = new HashMap<>();
     private double retryRatio;
     private double retryReserve;
     private Set<HostId> unreachableHosts = Set.of();
@@ -61,7 +59,8 @@
             EventLoop trafficLoop,
             Clock clock,
             DecisionLog decisionLog,
-            RandomGenerator random) {
+            RandomGenerator random,
+            boolean treeAdmission) {
         this.self = self;
         this.gate = gate;
         this.peers = peers;
@@ -70,6 +69,7 @@
         this.clock = clock;
         this.decisionLog = decisionLog;
         this.random = random;
+        this.treeAdmission = treeAdmission;
     }
 
     /** Sets this node's share of the retries per service: a ratio to the requests sent, and a reserve. */
@@ -77,7 +77,7 @@
         if (ratio != retryRatio || reserve != retryReserve) {
             retryRatio = ratio;
             retryReserve = reserve;
-            retryBudgets.clear();
+            retryBudgets.replaceAll((service, budget) -> budget.withLimits(ratio, reserve));
         }
     }
 
@@ -108,27 +108,29 @@
      */
     Runnable dispatch(DispatchRequest request, Consumer<CallAnswer> onAnswer) {
         long now = clock.millis();
-        retryBudgets(request.service()).recordRequest(now);
+        retryBudget(request.service()).recordRequest(now);
         InFlightRequest sending = new InFlightRequest(request, onAnswer, now);
         inFlight.add(sending);
         sending.startNextAttempt(now);
         return sending::cancel;
     }
 
-    private RetryThrottle retryBudgets(ServiceId service) {
-        return retryBudgets.computeIfAbsent(service, s -> new RetryThrottle(retryRatio, retryReserve));
+    private RetryBudget retryBudget(ServiceId service) {
+        return retryBudgets.computeIfAbsent(
+                service,
+                s -> treeAdmission
+                        ? new SlidingRetryThrottle(retryRatio, retryReserve)
+                        : new RetryThrottle(retryRatio, retryReserve));
     }
 
     private Optional<Candidate> selectCandidate(ServiceId service, Set<HostId> triedHosts, long now) {
-        if (!backoffUntilMillis.isEmpty()) {
-            backoffUntilMillis.values().removeIf(until -> now >= until);
-        }
-        if (backoffUntilMillis.isEmpty() && unreachableHosts.isEmpty()) {
+        Set<HostId> avoidedHosts = hostBackoff.active(now);
+        if (avoidedHosts.isEmpty() && unreachableHosts.isEmpty()) {
             return placer.place(service, triedHosts, now, random);
         }
         Set<HostId> excluded = new HashSet<>(triedHosts);
         excluded.addAll(unreachableHosts);
-        excluded.addAll(backoffUntilMillis.keySet());
+        excluded.addAll(avoidedHosts);
         Optional<Candidate> preferred = placer.place(service, excluded, now, random);
         return preferred.isPresent() ? preferred : placer.place(service, triedHosts, now, random);
     }
@@ -139,11 +141,7 @@
         private final Consumer<CallAnswer> onAnswer;
         private final Set<HostId> triedHosts = new HashSet<>();
         private final ScheduledFuture<?> deadlineTimer;
-        private int uncountedRetriesLeft = MAX_UNCOUNTED_RETRIES;
-        /** Attempts that an upstream has received or may have received. */
-        private int countedAttempts;
-
-        private boolean mayHaveRun;
+        private final AttemptPolicy policy;
         private boolean done;
         private int attemptNumber;
         private HostId attemptHost;
@@ -153,6 +151,8 @@
         InFlightRequest(DispatchRequest request, Consumer<CallAnswer> onAnswer, long now) {
             this.request = request;
             this.onAnswer = onAnswer;
+            this.policy = new AttemptPolicy(
+                    request.maxAttempts(), request.call().getIdempotent(), request.deadlineMillis(), !treeAdmission);
             long remainingMillis = Math.max(0, request.deadlineMillis() - now);
             this.deadlineTimer = trafficLoop.schedule(this::expire, remainingMillis, TimeUnit.MILLISECONDS);
         }
@@ -243,50 +243,45 @@
         }
 
         private void retryOrComplete(CallAnswer outcome, long now) {
-            boolean notRun = Refusals.isNotRun(outcome);
-            boolean reachedUpstream = !notRun || outcome.getReachedUpstream();
-            mayHaveRun |= !notRun;
-            countedAttempts += reachedUpstream ? 1 : 0;
             triedHosts.add(attemptHost);
-            boolean failed = Refusals.isRefusal(outcome) || outcome.getStatus() >= 500;
-            if (!failed || !mayRetry(outcome, now)) {
-                complete(outcome);
-                return;
-            }
-            if (!reachedUpstream) {
-                uncountedRetriesLeft -=
-                        Refusals.isRefusal(outcome, ErrorKind.OVERLOADED) ? MAX_UNCOUNTED_RETRIES / 2 : 1;
-                backOffHost(outcome, now);
-                startNextAttempt(now);
-            } else if (retryBudgets(request.service()).tryRetry(retryCost(), now)) {
-                startNextAttempt(now);
-            } else {
-                complete(outcome);
+            switch (policy.next(toAttemptOutcome(outcome), now)) {
+                case RETRY -> {
+                    backOffHost(outcome, now);
+                    startNextAttempt(now);
+                }
+                case RETRY_WITHIN_BUDGET -> {
+                    if (tryRetry(now)) {
+                        startNextAttempt(now);
+                    } else {
+                        complete(outcome);
+                    }
+                }
+                case COMPLETE -> complete(outcome);
             }
         }
 
-        private boolean mayRetry(CallAnswer outcome, long now) {
-            boolean enoughTime = request.deadlineMillis() - now >= MIN_RETRY_TIME_MILLIS;
-            boolean allowed = !mayHaveRun || request.call().getIdempotent();
-            boolean timedOut = Refusals.isRefusal(outcome, ErrorKind.DEADLINE_EXCEEDED) || outcome.getStatus() == 504;
-            // If an execution that makes calls fails, one of them is the likely cause, and a retry repeats them all.
-            boolean ownFailure = Refusals.isRefusal(outcome) || !outcome.getMakesCalls();
-            return enoughTime
-                    && allowed
-                    && !timedOut
-                    && ownFailure
-                    && uncountedRetriesLeft > 0
-                    && countedAttempts < request.maxAttempts();
+        private static AttemptOutcome toAttemptOutcome(CallAnswer outcome) {
+            boolean refusal = Refusals.isRefusal(outcome);
+            boolean notRun = Refusals.isNotRun(outcome);
+            return new AttemptOutcome(
+                    refusal || outcome.getStatus() >= 500,
+                    refusal,
+                    notRun,
+                    !notRun || outcome.getReachedUpstream(),
+                    Refusals.isRefusal(outcome, ErrorKind.OVERLOADED),
+                    Refusals.isRefusal(outcome, ErrorKind.DEADLINE_EXCEEDED) || outcome.getStatus() == 504,
+                    outcome.getMakesCalls());
         }
 
-        /** Returns the cost of a retry. A retry also repeats nested calls, which count at the services they reach. */
-        private double retryCost() {
-            return routesMakingCalls.contains(request.call().getRoute()) ? RETRY_COST_WITH_CALLS : 1;
+        /** Takes a retry from the budget. A retry also repeats nested calls, which count at the services they reach. */
+        private boolean tryRetry(long now) {
+            double cost = RetryCost.of(routesMakingCalls.contains(request.call().getRoute()));
+            return retryBudget(request.service()).tryRetry(cost, request.call().getNested(), now);
         }
 
         private void backOffHost(CallAnswer outcome, long now) {
             if (!Refusals.isRefusal(outcome, ErrorKind.OVERLOADED)) {
-                backoffUntilMillis.put(attemptHost, now + HOST_BACKOFF_MILLIS);
+                hostBackoff.add(attemptHost, now);
                 gate.markUnderPressure();
             }
         }
@@ -298,22 +293,12 @@
         void retryIfWaitingFor(Set<HostId> silentHosts) {
             long now = clock.millis();
             boolean waiting = silentHosts.contains(attemptHost) && !attemptHost.equals(self);
-            boolean lastAttempt = countedAttempts + 1 >= request.maxAttempts();
-            boolean enoughTime = request.deadlineMillis() - now >= MIN_RETRY_TIME_MILLIS;
-            if (!waiting
-                    || lastAttempt
-                    || !enoughTime
-                    || !request.call().getIdempotent()
-                    || !hasReachableAlternative(now)) {
-                return;
-            }
-            if (!retryBudgets(request.service()).tryRetry(retryCost(), now)) {
+            if (!waiting || !policy.mayAbandonAttempt(now) || !hasReachableAlternative(now) || !tryRetry(now)) {
                 return;
             }
             decisionLog.logAttempt(
                     request.requestId(), attemptHost.value(), attemptNumber, "silent", now - attemptStartMillis);
-            mayHaveRun = true;
-            countedAttempts++;
+            policy.abandonAttempt();
             triedHosts.add(attemptHost);
             Runnable cancelPrevious = cancelAttempt;
             startNextAttempt(now);
@@ -341,7 +326,7 @@
 
         /** Ends the request. Replaces a "not run" refusal, which is wrong if an earlier attempt may have run. */
         private void complete(CallAnswer outcome) {
-            boolean misleading = mayHaveRun && Refusals.isNotRun(outcome);
+            boolean misleading = policy.mayHaveRun() && Refusals.isNotRun(outcome);
             deliver(
                     misleading
                             ? Refusals.refusal(ErrorKind.UPSTREAM_FAILED, "an earlier attempt may have run")
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMessages.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMessages.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.ServiceId;
 import org.trefoilledge.core.admission.AdmissionPlan;
@@ -31,7 +33,9 @@
                 .setNodes(load.nodes())
                 .setSlots(load.slots())
                 .setBusySlots(toFixedPoint(load.busySlots()))
-                .setQueueDelay(toFixedPoint(load.queueDelayMillis()));
+                .setQueueDelay(toFixedPoint(load.queueDelayMillis()))
+                .setOffered(toFixedPoint(load.offeredPerSecond()))
+                .setRejected(toFixedPoint(load.rejectedPerSecond()));
         load.arrivals()
                 .forEach((requests, perSecond) -> status.addArrivals(ClassArrivals.newBuilder()
                         .setRoute(requests.route().value())
@@ -60,6 +64,7 @@
                         .setRoute(requests.route().value())
                         .setRank(requests.rank())
                         .setPart((int) Math.round(fraction * PLAN_SCALE))
+                        .setLimitedByRetries(plan.isLimitedByRetries(requests))
                         .build());
             }
         });
@@ -68,12 +73,15 @@
 
     static AdmissionPlan toPlan(List<AdmittedPart> messages) {
         Map<RequestClass, Double> admitted = new HashMap<>();
+        Set<RequestClass> limitedByRetries = new HashSet<>();
         for (AdmittedPart message : messages) {
-            admitted.put(
-                    new RequestClass(new RouteId(message.getRoute()), message.getRank()),
-                    message.getPart() / PLAN_SCALE);
+            RequestClass requests = new RequestClass(new RouteId(message.getRoute()), message.getRank());
+            admitted.put(requests, message.getPart() / PLAN_SCALE);
+            if (message.getLimitedByRetries()) {
+                limitedByRetries.add(requests);
+            }
         }
-        return new AdmissionPlan(admitted);
+        return new AdmissionPlan(admitted, limitedByRetries);
     }
 
     static NodeLoad toLoad(UpstreamStatus status) {
@@ -101,7 +109,9 @@
                 status.getBusySlots() / FIXED_POINT_SCALE,
                 status.getQueueDelay() / FIXED_POINT_SCALE,
                 arrivals,
-                executions);
+                executions,
+                status.getOffered() / FIXED_POINT_SCALE,
+                status.getRejected() / FIXED_POINT_SCALE);
     }
 
     private static int toFixedPoint(double value) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
@@ -22,6 +22,14 @@
     /** Time constant of the averages of the times for which executions hold a slot. */
     private static final double HOLD_AVERAGING_MILLIS = 2_000;
 
+    /** Time constant of the averages of answered and rejected calls; short, because retries run out within seconds. */
+    private static final double REJECTION_AVERAGING_MILLIS = 200;
+
+    /** Rejected calls of an interval, and their part of all answers, from which on the load is reported sooner. */
+    private static final int PRESSURE_REJECTIONS = 4;
+
+    private static final double PRESSURE_REJECTION_RATE = 0.1;
+
     /** Average rates below this are dropped. */
     private static final double NEGLIGIBLE_PER_SECOND = 0.01;
 
@@ -53,12 +61,23 @@
     private long intervalStartMillis;
     private double arrivalCount;
     private double totalArrivalRate;
+    private final boolean measuresRejections;
+    private int answeredCount;
+    private int rejectedCount;
+    private double answeredRate;
+    private double rejectedRate;
     /** Also read by the control thread. */
     private volatile boolean underPressure;
 
+    /** Creates a meter that does not report rejections. */
     LoadMeter(ServiceId service, Clock clock) {
+        this(service, clock, false);
+    }
+
+    LoadMeter(ServiceId service, Clock clock, boolean measuresRejections) {
         this.service = service;
         this.clock = clock;
+        this.measuresRejections = measuresRejections;
         this.intervalStartMillis = clock.millis();
         this.integratedUntilMillis = intervalStartMillis;
     }
@@ -111,6 +130,21 @@
         busySlots--;
     }
 
+    /**
+     * Records that the upstream has answered a call.
+     *
+     * @param rejected whether it has rejected the call, or failed for a reason of its own
+     */
+    void answered(boolean rejected) {
+        answeredCount++;
+        rejectedCount += rejected ? 1 : 0;
+        if (measuresRejections
+                && rejectedCount >= PRESSURE_REJECTIONS
+                && rejectedCount >= PRESSURE_REJECTION_RATE * answeredCount) {
+            underPressure = true;
+        }
+    }
+
     /** Returns whether executions of the route make calls of their own, as measured so far. */
     boolean makesCalls(RouteId route) {
         return !callRatios.callsPerExecution(route).isEmpty();
@@ -145,6 +179,7 @@
         double intervalWait = waitCount == 0 ? 0 : waitMillisSum / waitCount;
         double wait = Math.max(intervalWait, (double) oldestWaitMillis / 2);
         meanWaitMillis += (wait - meanWaitMillis) * weight;
+        updateRejections(elapsedMillis);
         totalArrivalRate =
                 arrivalRates.values().stream().mapToDouble(Double::doubleValue).sum();
         arrivalCount = 0;
@@ -155,7 +190,16 @@
         busySlotMillis = 0;
         waitMillisSum = 0;
         waitCount = 0;
-        return NodeLoad.of(service, slots, meanBusySlots, meanWaitMillis, arrivalRates, routeLoads());
+        NodeLoad load = NodeLoad.of(service, slots, meanBusySlots, meanWaitMillis, arrivalRates, routeLoads());
+        return measuresRejections ? load.withRejections(answeredRate, rejectedRate) : load;
+    }
+
+    private void updateRejections(double elapsedMillis) {
+        double weight = 1 - Math.exp(-elapsedMillis / REJECTION_AVERAGING_MILLIS);
+        answeredRate += (answeredCount * 1_000 / elapsedMillis - answeredRate) * weight;
+        rejectedRate += (rejectedCount * 1_000 / elapsedMillis - rejectedRate) * weight;
+        answeredCount = 0;
+        rejectedCount = 0;
     }
 
     private Map<RouteId, RouteLoad> routeLoads() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -72,7 +72,9 @@
         DecisionLog decisionLog = new DecisionLog(clock);
         BodyMemoryLimit bodyMemory = BodyMemoryLimit.forHeap();
         upstreamPool = new UpstreamPool(trafficGroup, settings.upstream(), headerNames, bodyMemory, clock);
-        LoadMeter loadMeter = new LoadMeter(settings.service(), clock);
+        boolean treeAdmission =
+                settings.enabledFeatures(platform.features(settings.terms())).contains(Feature.TREE_ADMISSION);
+        LoadMeter loadMeter = new LoadMeter(settings.service(), clock, treeAdmission);
         gate = new UpstreamGate(trafficLoop, upstreamPool, LocalUpstream.none(settings.service()), loadMeter, clock);
         RateTolerance tolerance = rateTolerance(settings);
         tokenSource = new TokenSource(settings.host(), settings.zone(), tolerance, leaseClock, this::requestTokens);
@@ -83,8 +85,8 @@
                 new PeerRequestHandler(gate, tokenSource, currentConfig, controlLoop, new ReportForwarder()),
                 trafficGroup);
         Placer placer = new Placer(settings.host(), settings.zone(), PlacementSettings.defaults(settings.host()));
-        Dispatcher dispatcher =
-                new Dispatcher(settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random);
+        Dispatcher dispatcher = new Dispatcher(
+                settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random, treeAdmission);
         AdmissionGate admission = new AdmissionGate();
         CallerRequestHandler handler = new CallerRequestHandler(
                 RequestFilters.all(
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
@@ -260,11 +260,26 @@
         if (Refusals.isRefusal(answer, ErrorKind.NO_UPSTREAM)) {
             connectBackoffUntilMillis = now + CONNECT_BACKOFF_MILLIS;
         }
+        recordAnswer(pendingCalls.get(ticket), answer);
         complete(ticket, answer);
         boolean succeeded = !Refusals.isRefusal(answer) && answer.getStatus() < 500;
         performActions(guard.finish(ticket, succeeded, now));
     }
 
+    /** Records whether the upstream has rejected a call, or has failed in a way that a retry can cure. */
+    private void recordAnswer(PendingCall pending, CallAnswer answer) {
+        if (pending == null || pending.cancelled || answer.getStatus() == ErrorKind.DEADLINE_EXCEEDED.status()) {
+            return;
+        }
+        boolean fromUpstream = !Refusals.isRefusal(answer) || answer.getReachedUpstream();
+        // The calls that an execution makes can be the cause of its failure, but not of a rejection.
+        boolean ownFailure =
+                answer.getStatus() >= 500 && pending.call.getIdempotent() && !loadMeter.makesCalls(pending.route);
+        if (fromUpstream || Refusals.isRefusal(answer, ErrorKind.UPSTREAM_FAILED)) {
+            loadMeter.answered(answer.getReachedUpstream() || ownFailure);
+        }
+    }
+
     private void complete(long ticket, CallAnswer answer) {
         PendingCall pending = pendingCalls.remove(ticket);
         if (pending != null && !pending.cancelled) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
@@ -15,6 +15,7 @@
 import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.ZoneId;
 import org.trefoilledge.core.admission.AdmissionPlan;
+import org.trefoilledge.core.admission.AdmissionPlanner;
 import org.trefoilledge.core.admission.NodeLoad;
 import org.trefoilledge.wire.generated.AdmittedPart;
 import org.trefoilledge.wire.generated.DirectoryEntry;
@@ -64,7 +65,8 @@
             ConfigState knowledge,
             Directory directory,
             ConfigFetch configs,
-            Clock clock) {
+            Clock clock,
+            AdmissionPlanner planner) {
         this.self = self;
         this.zone = zone;
         this.directorySource = Directory.versionSource(self, incarnation);
@@ -73,7 +75,7 @@
         this.directory = directory;
         this.configs = configs;
         this.clock = clock;
-        this.loads = new ZoneLoads(zone);
+        this.loads = new ZoneLoads(zone, planner);
     }
 
     /** Sets whether this node reads the store itself. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneLoads.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneLoads.java
@@ -29,7 +29,7 @@
     private static final long WARM_UP_MILLIS = 2_000;
 
     private final ZoneId zone;
-    private final AdmissionPlanner planner = new AdmissionPlanner();
+    private final AdmissionPlanner planner;
     private final Map<HostId, ReceivedLoad> loadsByHost = new HashMap<>();
     private final Map<ZoneId, ZoneSums> sumsByZone = new HashMap<>();
     private long collectingSinceMillis = Long.MIN_VALUE;
@@ -38,8 +38,9 @@
 
     private record ZoneSums(List<NodeLoad> loads, Set<HostId> silent, Set<HostId> unlisted, long receivedMillis) {}
 
-    ZoneLoads(ZoneId zone) {
+    ZoneLoads(ZoneId zone, AdmissionPlanner planner) {
         this.zone = zone;
+        this.planner = planner;
     }
 
     /** Records the load of a node of this zone. */
@@ -93,7 +94,8 @@
                 .forEach(sums -> fresh.addAll(sums.loads()));
         return planner.plan(
                 fresh,
-                route -> config.routeById(route).map(HostRoute::trafficSplit).orElse(null));
+                route -> config.routeById(route).map(HostRoute::trafficSplit).orElse(null),
+                now);
     }
 
     /** Returns the members of this zone that do not report; empty while this collector warms up. */
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -126,7 +126,7 @@
         UpstreamGate gate =
                 new UpstreamGate(loop, pool, LocalUpstream.none(ORDERS), new LoadMeter(ORDERS, clock), clock);
         Dispatcher created = new Dispatcher(
-                SELF, gate, links, placer, loop, clock, new DecisionLog(clock), RandomGenerator.getDefault());
+                SELF, gate, links, placer, loop, clock, new DecisionLog(clock), RandomGenerator.getDefault(), false);
         created.setRetryBudget(0.2, 10);
         return created;
     }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/ZoneLoadsTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/ZoneLoadsTest.java
@@ -11,6 +11,7 @@
 import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.ServiceId;
 import org.trefoilledge.core.ZoneId;
+import org.trefoilledge.core.admission.AdmissionPlanner;
 import org.trefoilledge.core.admission.NodeLoad;
 
 /** Detection of nodes and zones that stop reporting. */
@@ -23,7 +24,7 @@
     private static final HostId OTHER_ZONE_HOST = new HostId("far");
     private static final HostId OTHER_ZONE_HOST_2 = new HostId("farther");
 
-    private final ZoneLoads loads = new ZoneLoads(OWN_ZONE);
+    private final ZoneLoads loads = new ZoneLoads(OWN_ZONE, new AdmissionPlanner());
     private final Map<HostId, Member> members = new HashMap<>();
 
     ZoneLoadsTest() {
