Learn the concurrency limit and the service times of each upstream

Cause: upstreams of one service differ in speed, and some slow down before their slots are full.

Change: LearnedCapacity keeps the announced slots unless a LimitTrial shows that a lower limit has more throughput. A trial compares calls that start within the same short block at the lower and at the higher concurrency, so a change of speed over time does not lower the limit. ServiceTimes measures the present service time by route, calls that still run included. Guard.withLearnedCapacity uses them in place of ConcurrencyLimit; the node keeps ConcurrencyLimit. The sidecar uses it with features.learned-capacity: learned limit in load reports, service_time_millis in answers, three gauges, a log line for a change of the limit by a quarter. Without the feature nothing changes.

--- a/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/ConcurrencyLimit.java
@@ -1,12 +1,14 @@
 package org.trefoilledge.core.overload;
 
+import org.trefoilledge.core.RouteId;
+
 /**
  * Adaptive limit of the concurrent calls to one upstream. The limit is cut when the mean latency of a measurement
  * window exceeds {@link #OVERLOAD_LATENCY_RATIO} times a long-term baseline. If the cut does not reduce latency,
  * concurrency is not the cause: the limit is restored and the baseline is raised temporarily, because a lower limit
  * would only reduce throughput.
  */
-final class ConcurrencyLimit {
+final class ConcurrencyLimit implements CallLimit {
     private static final double COLD_START_SHARE = 0.1;
     private static final double COLD_START_DOUBLING_MILLIS = 1_000;
     private static final long MIN_WINDOW_MILLIS = 100;
@@ -54,7 +56,8 @@
         this.coldStart = coldStart;
     }
 
-    void resize(int newSlots) {
+    @Override
+    public void resize(int newSlots) {
         if (newSlots != slots) {
             limit = Math.max(1, limit * newSlots / slots);
             slots = newSlots;
@@ -62,22 +65,52 @@
     }
 
     /** Starts the cold-start ramp at the first call, because an upstream without traffic does not warm up. */
-    void startRamp(long now) {
+    @Override
+    public void offer(long now) {
         if (rampStartMillis < 0) {
             rampStartMillis = now;
         }
     }
 
-    /** Returns the number of calls that may run concurrently, at least 1. */
-    int current(long now) {
+    @Override
+    public int current(long now) {
         return (int) Math.max(1, Math.floor(Math.min(limit, rampLimit(now)) + 1e-9));
     }
 
+    @Override
+    public int reported(long now) {
+        return current(now);
+    }
+
+    @Override
+    public void start(PendingCall call, int running, long now) {
+        // Only the end of a call is measured.
+    }
+
+    @Override
+    public void end(PendingCall call, CallEnd end, long now) {
+        recordCall(call.startedMillis, end.succeeded(), now);
+    }
+
+    /** Changes nothing: the limit follows the latency of whatever upstream is there. */
+    @Override
+    public void restart() {}
+
+    @Override
+    public double serviceTimeMillis(RouteId route, long now) {
+        return 0;
+    }
+
+    @Override
+    public double relativeSpeed() {
+        return 1;
+    }
+
     /**
      * Records the latency of a finished call. The latency of a failed or cancelled call is only a lower bound of the
      * service time, so it is ignored unless it is at least the average.
      */
-    void recordCall(long startedMillis, boolean succeeded, long now) {
+    private void recordCall(long startedMillis, boolean succeeded, long now) {
         double latency = Math.max(0.5, (double) (now - startedMillis));
         if (!succeeded && latency < serviceTimeMillis) {
             return;
--- a/core/src/main/java/org/trefoilledge/core/overload/Guard.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/Guard.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.RouteId;
 
 /**
  * Admission control in front of one upstream: decides which calls run, in which order, and which are refused. Not
@@ -25,7 +26,7 @@
     private static final OrganisationId SHARED_FLOW = new OrganisationId("all");
 
     private final GuardSettings settings;
-    private final ConcurrencyLimit limit;
+    private final CallLimit limit;
     private final RouteTimes routeTimes = new RouteTimes();
     private final Map<OrganisationId, AdmissionLevel> admissionLevels = new HashMap<>();
     private final FairQueue[] queues;
@@ -41,16 +42,29 @@
 
     /** Creates a guard with the announced slots and equal weights. */
     public Guard(GuardSettings settings) {
+        this(
+                settings,
+                new ConcurrencyLimit(
+                        settings.slots(),
+                        settings.isEnabled(Mechanism.ADAPTIVE_LIMIT),
+                        settings.isEnabled(Mechanism.COLD_START)));
+    }
+
+    private Guard(GuardSettings settings, CallLimit limit) {
         this.settings = settings;
         this.slots = settings.slots();
-        this.limit = new ConcurrencyLimit(
-                slots, settings.isEnabled(Mechanism.ADAPTIVE_LIMIT), settings.isEnabled(Mechanism.COLD_START));
+        this.limit = limit;
         this.queues = new FairQueue[settings.isEnabled(Mechanism.IMPORTANCE) ? 4 : 1];
         for (int i = 0; i < queues.length; i++) {
             queues[i] = new FairQueue(settings.delayTargetMillis(), settings.delayWindowMillis());
         }
     }
 
+    /** Creates a guard that learns its concurrency limit by {@link LearnedCapacity} instead of the adaptive limit. */
+    public static Guard withLearnedCapacity(GuardSettings settings) {
+        return new Guard(settings, new LearnedCapacity(settings.slots()));
+    }
+
     /**
      * Sets the announced slots and the weight of each organisation, which is its rate. Organisations without an entry
      * have weight 1.
@@ -75,7 +89,7 @@
         if (drain) {
             return List.of(refusal(call, ErrorKind.DRAINING));
         }
-        limit.startRamp(now);
+        limit.offer(now);
         OrganisationId organisation = flowKey(call.organisation());
         AdmissionLevel level = levelOf(organisation);
         int rank = call.rank();
@@ -98,6 +112,11 @@
      *     service time
      */
     public List<GuardAction> finish(long ticket, boolean succeeded, long now) {
+        return finish(ticket, succeeded ? CallEnd.COMPLETED : CallEnd.FAILED, now);
+    }
+
+    /** Frees the slot of a running call that has ended in the given way, see {@link #finish(long, boolean, long)}. */
+    public List<GuardAction> finish(long ticket, CallEnd end, long now) {
         advanceClock(now);
         PendingCall call = calls.get(ticket);
         if (call == null || !call.running) {
@@ -105,8 +124,8 @@
         }
         calls.remove(ticket);
         running--;
-        limit.recordCall(call.startedMillis, succeeded, now);
-        routeTimes.recordEnd(call.call.route(), (double) (now - call.startedMillis), succeeded);
+        limit.end(call, end, now);
+        routeTimes.recordEnd(call.call.route(), (double) (now - call.startedMillis), end.succeeded());
         return dispatch(new ArrayList<>(2));
     }
 
@@ -166,6 +185,21 @@
         return report(now, level == null ? 0 : level.value());
     }
 
+    /** Forgets the learned capacity, because another upstream has taken the place of the previous one. */
+    public void restartLearning() {
+        limit.restart();
+    }
+
+    /** Returns the mean time in milliseconds that calls of a route take now, 0 if it is not learned or not known. */
+    public double serviceTimeMillis(RouteId route, long now) {
+        return limit.serviceTimeMillis(route, now);
+    }
+
+    /** Returns the learned speed near the limit relative to the speed at low concurrency, 1 if it is not known. */
+    public double relativeSpeed() {
+        return limit.relativeSpeed();
+    }
+
     /** Returns the number of running calls. */
     public int running() {
         return running;
@@ -197,7 +231,7 @@
         for (FairQueue queue : queues) {
             delay = Math.max(delay, queue.delayMillis(now));
         }
-        return new LoadReport(running, limit.current(now), delay, admissionLevel);
+        return new LoadReport(running, limit.reported(now), delay, admissionLevel);
     }
 
     private static void checkWeight(OrganisationId organisation, double weight) {
@@ -311,6 +345,7 @@
             next.startedMillis = nowMillis;
             running++;
             routeTimes.recordStart(next.call.route());
+            limit.start(next, running, nowMillis);
             actions.add(new GuardAction.Run(next.call.ticket()));
         }
         return actions;
--- a/core/src/main/java/org/trefoilledge/core/overload/PendingCall.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/PendingCall.java
@@ -9,6 +9,9 @@
     final long arrivedMillis;
     long startedMillis;
     boolean running;
+    /** The call as a sample of the learned capacity; null if the capacity is not learned or the call is queued. */
+    LearnedCapacity.Sample sample;
+
     Flow flow;
     PendingCall older;
     PendingCall newer;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -73,7 +73,10 @@
         BodyMemoryLimit bodyMemory = BodyMemoryLimit.forHeap();
         upstreamPool = new UpstreamPool(trafficGroup, settings.upstream(), headerNames, bodyMemory, clock);
         LoadMeter loadMeter = new LoadMeter(settings.service(), clock);
-        gate = new UpstreamGate(trafficLoop, upstreamPool, LocalUpstream.none(settings.service()), loadMeter, clock);
+        boolean learnCapacity =
+                settings.enabledFeatures(platform.features(settings.terms())).contains(Feature.LEARNED_CAPACITY);
+        gate = new UpstreamGate(
+                trafficLoop, upstreamPool, LocalUpstream.none(settings.service()), loadMeter, clock, learnCapacity);
         RateTolerance tolerance = rateTolerance(settings);
         tokenSource = new TokenSource(settings.host(), settings.zone(), tolerance, leaseClock, this::requestTokens);
         RateLimits limits = new RateLimits(leaseClock, tolerance.tokenLifetimeMillis(), tokenSource);
@@ -134,6 +137,9 @@
         metrics.registerGauge(
                 "trefoilledge.config.age", "Age of the configuration in milliseconds", currentConfig::ageMillis);
         metrics.registerGauge("trefoilledge.config.version", "Version of the configuration", currentConfig::version);
+        if (gate.learnedLimit() != null) {
+            gate.learnedLimit().register(metrics);
+        }
         LoopDelayMeter trafficDelay = new LoopDelayMeter(clock);
         metrics.registerGauge(
                 "trefoilledge.traffic.delay",
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
@@ -14,6 +14,7 @@
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.admission.NodeLoad;
+import org.trefoilledge.core.overload.CallEnd;
 import org.trefoilledge.core.overload.Guard;
 import org.trefoilledge.core.overload.GuardAction;
 import org.trefoilledge.core.overload.GuardSettings;
@@ -53,6 +54,9 @@
     private final LoadMeter loadMeter;
     private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
     private final Guard guard;
+    /** Null if the limit is not learned. */
+    private final LearnedLimitLog learnedLimit;
+
     private LocalUpstream upstream;
     private Map<OrganisationId, Double> organisationWeights = Map.of();
     private ScheduledFuture<?> tickTimer;
@@ -88,15 +92,32 @@
     }
 
     UpstreamGate(EventLoop trafficLoop, UpstreamPool pool, LocalUpstream upstream, LoadMeter loadMeter, Clock clock) {
+        this(trafficLoop, pool, upstream, loadMeter, clock, false);
+    }
+
+    /**
+     * Creates a gate.
+     *
+     * @param learnCapacity whether the concurrency limit is learned; otherwise it is the announced slots
+     */
+    UpstreamGate(
+            EventLoop trafficLoop,
+            UpstreamPool pool,
+            LocalUpstream upstream,
+            LoadMeter loadMeter,
+            Clock clock,
+            boolean learnCapacity) {
         this.trafficLoop = trafficLoop;
         this.pool = pool;
         this.upstream = upstream;
         this.loadMeter = loadMeter;
         this.clock = clock;
         // All calls to the upstream pass this gate, so its slots are an exact limit and no adaptive limit is needed.
-        this.guard = new Guard(GuardSettings.defaults(upstream.slots())
+        GuardSettings guardSettings = GuardSettings.defaults(upstream.slots())
                 .withMechanisms(EnumSet.of(
-                        Mechanism.CONCURRENCY_LIMIT, Mechanism.IMPORTANCE, Mechanism.FAIRNESS, Mechanism.DEADLINES)));
+                        Mechanism.CONCURRENCY_LIMIT, Mechanism.IMPORTANCE, Mechanism.FAIRNESS, Mechanism.DEADLINES));
+        this.guard = learnCapacity ? Guard.withLearnedCapacity(guardSettings) : new Guard(guardSettings);
+        this.learnedLimit = learnCapacity ? new LearnedLimitLog() : null;
     }
 
     /** Sets the state of the upstream. Refuses the queued calls if it is no longer serving. */
@@ -104,6 +125,7 @@
         if (!current.id().equals(upstream.id())) {
             pool.closeIdle();
             connectBackoffUntilMillis = Long.MIN_VALUE;
+            guard.restartLearning();
         }
         upstream = current;
         guard.configure(upstream.slots(), organisationWeights);
@@ -134,8 +156,13 @@
 
     /** Ends the current interval of the load meter and returns the load. */
     NodeLoad sampleLoad() {
-        int slots = stopping || !upstream.serving() ? 0 : upstream.slots();
-        return loadMeter.sample(slots, loadReport().queueDelayMillis());
+        LoadReport load = loadReport();
+        if (learnedLimit != null) {
+            learnedLimit.update(load.limit(), upstream.slots(), guard.relativeSpeed());
+        }
+        int usableSlots = learnedLimit != null ? load.limit() : upstream.slots();
+        int slots = stopping || !upstream.serving() ? 0 : usableSlots;
+        return loadMeter.sample(slots, load.queueDelayMillis());
     }
 
     /** Marks this node as under pressure because its requests find no upstream, so that it reports its load sooner. */
@@ -148,6 +175,11 @@
         return loadMeter.underPressure();
     }
 
+    /** Returns the learned limit for the operators, null if it is not learned. */
+    LearnedLimitLog learnedLimit() {
+        return learnedLimit;
+    }
+
     LoadReport loadReport() {
         return guard.report(clock.millis());
     }
@@ -251,25 +283,33 @@
         var request = new UpstreamPool.UpstreamRequest(pending.call, upstream.id(), pending.deadlineMillis);
         pending.execution = pool.execute(request, answer -> {
             loadMeter.ended(route, clock.millis() - pending.startedMillis);
-            handleAnswer(ticket, answer);
+            handleAnswer(ticket, pending, answer);
         });
     }
 
-    private void handleAnswer(long ticket, CallAnswer answer) {
+    private void handleAnswer(long ticket, PendingCall pending, CallAnswer answer) {
         long now = clock.millis();
         if (Refusals.isRefusal(answer, ErrorKind.NO_UPSTREAM)) {
             connectBackoffUntilMillis = now + CONNECT_BACKOFF_MILLIS;
         }
         complete(ticket, answer);
-        boolean succeeded = !Refusals.isRefusal(answer) && answer.getStatus() < 500;
-        performActions(guard.finish(ticket, succeeded, now));
+        performActions(guard.finish(ticket, endOf(pending, answer), now));
+    }
+
+    private CallEnd endOf(PendingCall pending, CallAnswer answer) {
+        if (Refusals.isRefusal(answer) || answer.getStatus() >= 500) {
+            return pending.cancelled ? CallEnd.ABANDONED : CallEnd.FAILED;
+        }
+        return loadMeter.makesCalls(pending.route) ? CallEnd.COMPLETED_WITH_CALLS : CallEnd.COMPLETED;
     }
 
     private void complete(long ticket, CallAnswer answer) {
         PendingCall pending = pendingCalls.remove(ticket);
         if (pending != null && !pending.cancelled) {
             boolean makesCalls = loadMeter.makesCalls(pending.route);
-            pending.onAnswer.accept(withLoad(answer.toBuilder().setMakesCalls(makesCalls)));
+            int serviceTimeMillis = (int) Math.round(guard.serviceTimeMillis(pending.route, clock.millis()));
+            pending.onAnswer.accept(
+                    withLoad(answer.toBuilder().setMakesCalls(makesCalls).setServiceTimeMillis(serviceTimeMillis)));
         }
     }
 
