--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -72,10 +73,16 @@
         DecisionLog decisionLog = new DecisionLog(clock);
         BodyMemoryLimit bodyMemory = BodyMemoryLimit.forHeap();
         upstreamPool = new UpstreamPool(trafficGroup, settings.upstream(), headerNames, bodyMemory, clock);
-        boolean treeAdmission =
-                settings.enabledFeatures(platform.features(settings.terms())).contains(Feature.TREE_ADMISSION);
+        Set<Feature> features = settings.enabledFeatures(platform.features(settings.terms()));
+        boolean treeAdmission = features.contains(Feature.TREE_ADMISSION);
         LoadMeter loadMeter = new LoadMeter(settings.service(), clock, treeAdmission);
-        gate = new UpstreamGate(trafficLoop, upstreamPool, LocalUpstream.none(settings.service()), loadMeter, clock);
+        gate = new UpstreamGate(
+                trafficLoop,
+                upstreamPool,
+                LocalUpstream.none(settings.service()),
+                loadMeter,
+                clock,
+                features.contains(Feature.LEARNED_CAPACITY));
         RateTolerance tolerance = rateTolerance(settings);
         tokenSource = new TokenSource(settings.host(), settings.zone(), tolerance, leaseClock, this::requestTokens);
         RateLimits limits = new RateLimits(leaseClock, tolerance.tokenLifetimeMillis(), tokenSource);
@@ -136,6 +143,9 @@
         metrics.registerGauge(
                 "trefoilledge.config.age", "Age of the configuration in milliseconds", currentConfig::ageMillis);
         metrics.registerGauge("trefoilledge.config.version", "Version of the configuration", currentConfig::version);
+        if (gate.learnedLimit() != null) {
+            gate.learnedLimit().register(metrics);
+        }
         LoopDelayMeter trafficDelay = new LoopDelayMeter(clock);
         metrics.registerGauge(
                 "trefoilledge.traffic.delay",
