Place calls by the expected time at upstreams that differ in speed

Cause: placement by load gives an idle slow upstream as many calls in flight as a fast one. With speeds from 0.5 to 1.6 calls wait at slow upstreams while fast ones have room.

Change: with features.learned-capacity, Placer compares two random upstreams by the expected time of a call: the service time relative to the mean of the service's upstreams, by route, times a factor that grows with the load, plus queue delay and failures. 15% of the calls ignore the speed if the upstream is idle, so slow upstreams keep a tenth of the calls of the others. A call leaves its zone only if that is faster by the round trip and a tenth of the service time. Senders learn the service times from the answers to their calls. Without the feature nothing changes.

--- a/core/src/main/java/org/trefoilledge/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/PlacementSettings.java
@@ -15,6 +15,7 @@
  * @param initialEjectionMillis duration of the first ejection; doubles with each consecutive ejection
  * @param maxEjectionMillis maximum duration of an ejection
  * @param maxReportAgeMillis age from which a load report is ignored
+ * @param expectedTime whether upstreams are compared by the expected time of a call instead of by their load
  */
 public record PlacementSettings(
         boolean twoChoices,
@@ -25,7 +26,8 @@
         int failuresToEject,
         long initialEjectionMillis,
         long maxEjectionMillis,
-        long maxReportAgeMillis) {
+        long maxReportAgeMillis,
+        boolean expectedTime) {
     /** Below 0.9, so that calls leave a zone whose upstream of ten slots has one slot left. */
     private static final double DEFAULT_SPILLOVER_LOAD = 0.88;
 
@@ -44,7 +46,7 @@
     /** Returns the default settings for the node on the given host, with all mechanisms enabled. */
     public static PlacementSettings defaults(HostId host) {
         long seed = Hashing.xxh3_64().hashCharsToLong(host.value());
-        return new PlacementSettings(true, true, 20, seed, DEFAULT_SPILLOVER_LOAD, 2, 1_000, 30_000, 1_000);
+        return new PlacementSettings(true, true, 20, seed, DEFAULT_SPILLOVER_LOAD, 2, 1_000, 30_000, 1_000, false);
     }
 
     /** Returns a copy with two random choices and ejection enabled or disabled. */
@@ -58,7 +60,23 @@
                 failuresToEject,
                 initialEjectionMillis,
                 maxEjectionMillis,
-                maxReportAgeMillis);
+                maxReportAgeMillis,
+                expectedTime);
+    }
+
+    /** Returns a copy that compares upstreams by the expected time of a call. */
+    public PlacementSettings withExpectedTime() {
+        return new PlacementSettings(
+                twoChoices,
+                ejection,
+                subsetSize,
+                subsetSeed,
+                spilloverLoad,
+                failuresToEject,
+                initialEjectionMillis,
+                maxEjectionMillis,
+                maxReportAgeMillis,
+                true);
     }
 
     private static void requirePositive(String name, long value) {
--- a/core/src/main/java/org/trefoilledge/core/placement/Placer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Placer.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.ServiceId;
 import org.trefoilledge.core.ZoneId;
 import org.trefoilledge.core.overload.LoadReport;
@@ -15,12 +17,26 @@
 /**
  * Chooses an upstream for each call. The upstream on the local host is preferred while it has capacity, which avoids a
  * hop to another node, then the upstreams of the local zone. Within a zone, the less loaded of two random upstreams is
- * chosen; an upstream is ejected for a time after consecutive unreachable calls. The estimated load of an upstream that
- * is reachable but fails some of its calls increases with its failure rate. Thread-safe.
+ * chosen, or the one with the shorter expected time for upstreams that differ in speed; an upstream is ejected for a time
+ * after consecutive unreachable calls. The estimated load of an upstream that is reachable but fails some of its calls
+ * increases with its failure rate. Thread-safe.
  */
 public final class Placer {
     /** Estimated load up to which the upstream on the local host is preferred; no call waits for a slot there. */
     private static final double MAX_LOCAL_HOST_LOAD = 0.5;
+    /** Service time up to which it is preferred, relative to the mean of the service's upstreams. */
+    private static final double MAX_LOCAL_HOST_TIME = 1.1;
+    /**
+     * Fraction of the calls for which the first of two random upstreams is chosen without regard to its speed, so that a
+     * slow upstream gets a tenth of the calls of the others and is seen to recover.
+     */
+    private static final double EXPLORED_FRACTION = 0.15;
+    /** Estimated load, failures included, up to which an upstream gets such calls. */
+    private static final double MAX_EXPLORED_LOAD = 0.5;
+    /** Time by which a call in another zone must be faster, in mean service times, beside the round trip there. */
+    private static final double MIN_TIME_GAIN = 0.1;
+    /** Additional round-trip time to another zone. */
+    private static final double ZONE_ROUND_TRIP_MILLIS = 3;
     /** Load by which an upstream of another zone must be below the local one, so that zones do not swap their calls. */
     private static final double MIN_LOAD_GAIN = 0.1;
 
@@ -29,6 +45,7 @@
     private final PlacementSettings settings;
     private volatile Map<HostId, Upstream> upstreams = Map.of();
     private volatile Map<ServiceId, ServiceUpstreams> services = Map.of();
+    private final Map<ServiceId, ServiceSpeed> speeds = new ConcurrentHashMap<>();
 
     /** Creates a placer without candidates. */
     public Placer(HostId localHost, ZoneId localZone, PlacementSettings settings) {
@@ -52,6 +69,8 @@
         grouped.forEach((service, list) -> nextServices.put(service, ServiceUpstreams.of(list, localZone, settings)));
         upstreams = next;
         services = nextServices;
+        speeds.keySet().retainAll(nextServices.keySet());
+        speeds.values().forEach(speed -> speed.retain(next.keySet()));
     }
 
     /** Returns an upstream of the service that is not on an excluded host, or empty if there is none. */
@@ -65,7 +84,8 @@
                 && local.candidate().service().equals(service)
                 && !excluded.contains(localHost)
                 && !local.isEjected(now)
-                && local.load(now) <= MAX_LOCAL_HOST_LOAD;
+                && local.load(now) <= MAX_LOCAL_HOST_LOAD
+                && (!settings.expectedTime() || local.relativeTime(now) <= MAX_LOCAL_HOST_TIME);
         Upstream chosen = useLocal ? local : chooseByZone(candidates, excluded, now, random);
         return chosen == null ? Optional.empty() : Optional.of(chosen.candidate());
     }
@@ -106,12 +126,24 @@
         }
     }
 
+    /** Records the mean service time of a route at the host, which an answer carries. */
+    public void recordServiceTime(HostId host, RouteId route, double millis, long now) {
+        Upstream upstream = upstreams.get(host);
+        if (settings.expectedTime() && upstream != null && millis > 0) {
+            upstream.recordServiceTime(route, millis, now);
+        }
+    }
+
+    private ServiceSpeed speedOf(ServiceId service) {
+        return speeds.computeIfAbsent(service, s -> new ServiceSpeed());
+    }
+
     /** Returns the existing upstream if the candidate is unchanged, otherwise a new one. */
     private Upstream reuseOrCreate(Candidate candidate) {
         Upstream existing = upstreams.get(candidate.host());
         return existing != null && existing.candidate().equals(candidate)
                 ? existing
-                : new Upstream(candidate, settings);
+                : new Upstream(candidate, settings, speedOf(candidate.service()));
     }
 
     /** Limits ejections to half of the upstreams of a service: if more fail, the fault is probably on this node. */
@@ -124,30 +156,54 @@
 
     /** Prefers the local zone up to the spillover load; ejected upstreams are used only if there are no others. */
     private Upstream chooseByZone(ServiceUpstreams candidates, Set<HostId> excluded, long now, RandomGenerator random) {
-        Upstream local = pickLessLoaded(candidates.localZone, excluded, false, now, random);
+        Upstream local = pickBetter(candidates.localZone, excluded, false, now, random);
         if (local != null && meanLoad(candidates.localZone, now) <= settings.spilloverLoad()) {
             return local;
         }
-        Upstream other = pickLessLoaded(candidates.otherZones, excluded, false, now, random);
+        Upstream other = pickBetter(candidates.otherZones, excluded, false, now, random);
         if (local != null) {
-            return other != null && other.load(now) < local.load(now) - MIN_LOAD_GAIN ? other : local;
+            return other != null && isClearlyBetter(other, local, now) ? other : local;
         }
         if (other != null) {
             return other;
         }
-        Upstream ejected = pickLessLoaded(candidates.localZone, excluded, true, now, random);
-        return ejected != null ? ejected : pickLessLoaded(candidates.otherZones, excluded, true, now, random);
+        Upstream ejected = pickBetter(candidates.localZone, excluded, true, now, random);
+        return ejected != null ? ejected : pickBetter(candidates.otherZones, excluded, true, now, random);
     }
 
-    /** Returns the less loaded of two random upstreams, or any one without two choices; null if there is none. */
-    private Upstream pickLessLoaded(
+    /** Returns the better of two random upstreams, or any one without two choices; null if there is none. */
+    private Upstream pickBetter(
             Upstream[] group, Set<HostId> excluded, boolean includeEjected, long now, RandomGenerator random) {
         Upstream first = pickRandom(group, null, excluded, includeEjected, now, random);
         if (first == null || !settings.twoChoices()) {
             return first;
         }
         Upstream second = pickRandom(group, first, excluded, includeEjected, now, random);
-        return second != null && second.load(now) < first.load(now) ? second : first;
+        if (second == null) {
+            return first;
+        }
+        if (!settings.expectedTime()) {
+            return second.load(now) < first.load(now) ? second : first;
+        }
+        return pickByTime(first, second, now, random);
+    }
+
+    /** Returns the one with the shorter expected time. An idle one is sometimes chosen regardless of its speed. */
+    private static Upstream pickByTime(Upstream first, Upstream second, long now, RandomGenerator random) {
+        if (random.nextDouble() < EXPLORED_FRACTION && first.load(now) < MAX_EXPLORED_LOAD) {
+            return first;
+        }
+        return second.expectedTime(now) < first.expectedTime(now) ? second : first;
+    }
+
+    /** Returns whether an upstream of another zone is better by more than what the way there costs. */
+    private boolean isClearlyBetter(Upstream other, Upstream local, long now) {
+        if (!settings.expectedTime()) {
+            return other.load(now) < local.load(now) - MIN_LOAD_GAIN;
+        }
+        double mean = speedOf(local.candidate().service()).meanMillis();
+        double travel = mean > 0 ? ZONE_ROUND_TRIP_MILLIS / mean : 0;
+        return other.expectedTime(now) < local.expectedTime(now) - travel - MIN_TIME_GAIN;
     }
 
     /** Returns a uniformly random usable upstream, or null if there is none. */
--- a/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
@@ -1,6 +1,7 @@
 package org.trefoilledge.core.placement;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.overload.LoadReport;
 
 /** The load, failure rate and reachability of one upstream as observed by this node. Thread-safe. */
@@ -14,12 +15,19 @@
     /** Load that is added per unit of the failure rate above the tolerated rate; a load of 1 is a full upstream. */
     private static final double LOAD_PER_FAILURE_RATE = 2;
 
+    /** Weight of one answer in the relative service time; the answers already carry averages. */
+    private static final double RELATIVE_TIME_SMOOTHING = 0.4;
+    /** Half-life of the relative service time while no answer carries one, so that a recovered upstream is used again. */
+    private static final double RELATIVE_TIME_HALF_LIFE_MILLIS = 5_000;
+
     private final Candidate candidate;
     private final PlacementSettings settings;
+    private final ServiceSpeed speed;
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile ReceivedReport lastReport;
     private volatile long ejectedUntilMillis = Long.MIN_VALUE;
     private volatile FailureRate failureRate = new FailureRate(0, 0);
+    private volatile RelativeTime relativeTime = new RelativeTime(0, 0);
     private int consecutiveFailures;
     private int consecutiveEjections;
 
@@ -34,7 +42,18 @@
         }
     }
 
-    Upstream(Candidate candidate, PlacementSettings settings) {
+    /** The logarithm of the service time relative to the mean of all upstreams. */
+    private record RelativeTime(double logValue, long updatedMillis) {
+        double decayedLogValue(long now) {
+            if (logValue == 0) {
+                return 0;
+            }
+            return logValue * Math.pow(2, -(double) Math.max(0, now - updatedMillis) / RELATIVE_TIME_HALF_LIFE_MILLIS);
+        }
+    }
+
+    Upstream(Candidate candidate, PlacementSettings settings, ServiceSpeed speed) {
+        this.speed = speed;
         this.candidate = candidate;
         this.settings = settings;
     }
@@ -65,6 +84,13 @@
         failureRate = new FailureRate(rate + ((failed ? 1 : 0) - rate) * FAILURE_RATE_SMOOTHING, now);
     }
 
+    /** Records the service time of a route that an answer carries. */
+    synchronized void recordServiceTime(RouteId route, double millis, long now) {
+        double latest = Math.log(speed.record(route, candidate.host(), millis));
+        double previous = relativeTime.decayedLogValue(now);
+        relativeTime = new RelativeTime(previous + (latest - previous) * RELATIVE_TIME_SMOOTHING, now);
+    }
+
     boolean isEjected(long now) {
         return now < ejectedUntilMillis;
     }
@@ -97,15 +123,51 @@
     double load(long now) {
         int own = inFlight.get();
         ReceivedReport report = lastReport;
-        double failureLoad =
-                LOAD_PER_FAILURE_RATE * Math.max(0, failureRate.decayedValue(now) - TOLERATED_FAILURE_RATE);
         if (report == null) {
-            return (double) own / candidate.slots() + failureLoad;
+            return (double) own / candidate.slots() + failureLoad(now);
         }
-        double freshness = Math.max(0, 1 - (double) (now - report.receivedMillis()) / settings.maxReportAgeMillis());
+        double freshness = freshness(report, now);
         double others = Math.max(0, report.load().inFlight() - report.ownInFlight()) * freshness;
         double limit = candidate.slots() + (report.load().limit() - candidate.slots()) * freshness;
         double delayLoad = report.load().queueDelayMillis() * freshness / settings.maxReportAgeMillis();
-        return (own + others) / Math.max(1, limit) + delayLoad + failureLoad;
+        return (own + others) / Math.max(1, limit) + delayLoad + failureLoad(now);
+    }
+
+    private double failureLoad(long now) {
+        return LOAD_PER_FAILURE_RATE * Math.max(0, failureRate.decayedValue(now) - TOLERATED_FAILURE_RATE);
+    }
+
+    /** Returns the service time relative to the mean of the service's upstreams, 1 if it is not known. */
+    double relativeTime(long now) {
+        return Math.exp(relativeTime.decayedLogValue(now));
+    }
+
+    /** Returns the expected time of one more call, in mean service times of the service. */
+    double expectedTime(long now) {
+        int own = inFlight.get();
+        ReceivedReport report = lastReport;
+        double relative = relativeTime(now);
+        if (report == null) {
+            return relative * crowding((own + 1.0) / candidate.slots()) + failureLoad(now);
+        }
+        double freshness = freshness(report, now);
+        double others = Math.max(0, report.load().inFlight() - report.ownInFlight()) * freshness;
+        double limit = candidate.slots() + (report.load().limit() - candidate.slots()) * freshness;
+        double mean = speed.meanMillis();
+        double delay = mean > 0 ? report.load().queueDelayMillis() * freshness / mean : 0;
+        return relative * crowding((own + others + 1) / Math.max(1, limit)) + delay + failureLoad(now);
+    }
+
+    /**
+     * Returns the expected time of a call at the given load, as a multiple of the service time. Above the limit, the call
+     * shares the upstream; below it, the chance grows that the upstream is full when the call arrives.
+     */
+    private static double crowding(double load) {
+        double filled = Math.min(1, load);
+        return Math.max(1, load) * (1 + filled * filled * filled * filled);
+    }
+
+    private double freshness(ReceivedReport report, long now) {
+        return Math.max(0, 1 - (double) (now - report.receivedMillis()) / settings.maxReportAgeMillis());
     }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -14,6 +14,7 @@
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.core.HostId;
+import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.ServiceId;
 import org.trefoilledge.core.overload.LoadReport;
 import org.trefoilledge.core.overload.RetryThrottle;
@@ -197,6 +198,10 @@
                                     answer.getInFlight(), answer.getLimit(), answer.getQueueDelayMillis(), 0)),
                     answer != null || done,
                     now);
+            if (answer != null && answer.getServiceTimeMillis() > 0) {
+                RouteId route = new RouteId(request.call().getRoute());
+                placer.recordServiceTime(candidate.host(), route, answer.getServiceTimeMillis(), now);
+            }
             if (done || number != attemptNumber) {
                 return;
             }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -85,7 +85,9 @@
                 formatAddress(settings.peers()),
                 new PeerRequestHandler(gate, tokenSource, currentConfig, controlLoop, new ReportForwarder()),
                 trafficGroup);
-        Placer placer = new Placer(settings.host(), settings.zone(), PlacementSettings.defaults(settings.host()));
+        PlacementSettings placement = PlacementSettings.defaults(settings.host());
+        Placer placer =
+                new Placer(settings.host(), settings.zone(), learnCapacity ? placement.withExpectedTime() : placement);
         Dispatcher dispatcher =
                 new Dispatcher(settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random);
         AdmissionGate admission = new AdmissionGate();
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamGateTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamGateTest.java
@@ -30,6 +30,7 @@
     private final List<CallAnswer> answers = new CopyOnWriteArrayList<>();
     private UpstreamStub upstream;
     private UpstreamGate gate;
+    private UpstreamGate learningGate;
 
     @BeforeEach
     void setUp() throws IOException {
@@ -48,6 +49,13 @@
         UpstreamPool pool = new UpstreamPool(
                 trafficGroup, upstream.address(), TestHeaders.HEADERS, BodyMemoryLimit.forHeap(), Clock.system());
         LoadMeter meter = new LoadMeter(ORDERS, Clock.system());
+        learningGate = new UpstreamGate(
+                (EventLoop) trafficGroup.next(),
+                pool,
+                new LocalUpstream("i-1", ORDERS, 4, LocalUpstream.State.SERVING),
+                new LoadMeter(ORDERS, Clock.system()),
+                Clock.system(),
+                true);
         gate = new UpstreamGate(
                 (EventLoop) trafficGroup.next(), pool, LocalUpstream.none(ORDERS), meter, Clock.system());
     }
@@ -135,6 +143,39 @@
         assertThat(answers).isEmpty();
     }
 
+    /** Guards against senders that cannot tell fast upstreams from slow ones. */
+    @Test
+    void answersCarryTheServiceTimeOfTheirRouteIfItIsLearned() throws Exception {
+        for (int i = 1; i <= 4; i++) {
+            int number = i;
+            runOnTrafficLoop(() -> learningGate.offer(call("r" + number, "orders", "route", 3_000), answers::add));
+        }
+        awaitRequests(4);
+        Thread.sleep(100);
+        releaseResponses.countDown();
+        awaitAnswers(4);
+
+        assertThat(answers.get(0).getServiceTimeMillis()).isZero();
+        assertThat(answers.get(3).getServiceTimeMillis()).isBetween(90, 2_000);
+        assertThat(answers).extracting(CallAnswer::getLimit).containsOnly(4);
+        runOnTrafficLoop(() -> learningGate.sampleLoad());
+        assertThat(learningGate.learnedLimit().limit()).isEqualTo(4);
+        assertThat(learningGate.learnedLimit().slots()).isEqualTo(4);
+    }
+
+    @Test
+    void answersCarryNoServiceTimeIfItIsNotLearned() throws Exception {
+        announceServing(4);
+        releaseResponses.countDown();
+        for (int i = 1; i <= 4; i++) {
+            offer("r" + i, "orders");
+        }
+        awaitAnswers(4);
+
+        assertThat(answers).extracting(CallAnswer::getServiceTimeMillis).containsOnly(0);
+        assertThat(gate.learnedLimit()).isNull();
+    }
+
     private void announceServing(int slots) {
         runOnTrafficLoop(() -> gate.upstream(new LocalUpstream("i-1", ORDERS, slots, LocalUpstream.State.SERVING)));
     }
