--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -75,6 +75,7 @@
         upstreamPool = new UpstreamPool(trafficGroup, settings.upstream(), headerNames, bodyMemory, clock);
         Set<Feature> features = settings.enabledFeatures(platform.features(settings.terms()));
         boolean treeAdmission = features.contains(Feature.TREE_ADMISSION);
+        boolean learnCapacity = features.contains(Feature.LEARNED_CAPACITY);
         LoadMeter loadMeter = new LoadMeter(settings.service(), clock, treeAdmission);
         gate = new UpstreamGate(
                 trafficLoop,
@@ -82,7 +83,7 @@
                 LocalUpstream.none(settings.service()),
                 loadMeter,
                 clock,
-                features.contains(Feature.LEARNED_CAPACITY));
+                learnCapacity);
         RateTolerance tolerance = rateTolerance(settings);
         tokenSource = new TokenSource(settings.host(), settings.zone(), tolerance, leaseClock, this::requestTokens);
         RateLimits limits = new RateLimits(leaseClock, tolerance.tokenLifetimeMillis(), tokenSource);
@@ -91,7 +92,9 @@
                 formatAddress(settings.peers()),
                 new PeerRequestHandler(gate, tokenSource, currentConfig, controlLoop, new ReportForwarder()),
                 trafficGroup);
-        Placer placer = new Placer(settings.host(), settings.zone(), PlacementSettings.defaults(settings.host()));
+        PlacementSettings placement = PlacementSettings.defaults(settings.host());
+        Placer placer =
+                new Placer(settings.host(), settings.zone(), learnCapacity ? placement.withExpectedTime() : placement);
         Dispatcher dispatcher = new Dispatcher(
                 settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random, treeAdmission);
         AdmissionGate admission = new AdmissionGate();
