Bound the service time of a route while none of its calls completes

Cause: the quotient of running time and completions grows without bound while a call hangs, and so would the expected time of its upstream at the senders.

Change: the running time of the window is integrated exactly, and the service time is at most 20 times its reference.

--- a/core/src/main/java/org/trefoilledge/core/overload/ServiceTimes.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/ServiceTimes.java
@@ -19,6 +19,8 @@
     private static final int MIN_COMPLETIONS = 3;
     /** Completions at low concurrency before their service time is used; 10 give a standard error of about 15%. */
     private static final int MIN_LOW_COMPLETIONS = 10;
+    /** Bound of a service time as a multiple of its reference; while no call completes, the quotient has no bound. */
+    private static final double MAX_SLOWDOWN = 20;
     /** Weight of one call in the reference, which has to outlast the noise of single calls. */
     private static final double REFERENCE_WEIGHT = 0.03;
 
@@ -58,8 +60,9 @@
             double elapsed = Math.max(0, (double) (now - updatedMillis));
             updatedMillis = now;
             if (running > 0 && elapsed > 0) {
-                double decay = Math.exp(-elapsed / windowMillis());
-                runningMillis = runningMillis * decay + running * elapsed;
+                double window = windowMillis();
+                double decay = Math.exp(-elapsed / window);
+                runningMillis = runningMillis * decay + running * window * (1 - decay);
                 completions *= decay;
             }
         }
@@ -70,7 +73,10 @@
         }
 
         private double meanMillis() {
-            return completed < MIN_COMPLETIONS || completions <= 0 ? 0 : runningMillis / completions;
+            if (completed < MIN_COMPLETIONS || completions <= 0) {
+                return 0;
+            }
+            return Math.min(runningMillis / completions, MAX_SLOWDOWN * Math.exp(logReference));
         }
 
         private void complete(double durationMillis, boolean lowConcurrency) {
