--- a/sidecar/src/main/java/org/trefoilledge/sidecar/DecisionLog.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/DecisionLog.java
@@ -1,7 +1,5 @@
 package org.trefoilledge.sidecar;
 
-import static net.logstash.logback.argument.StructuredArguments.kv;
-
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.Clock;
@@ -39,15 +37,15 @@
             long configAgeMillis) {
         boolean failed = status >= 400;
         if ((failed || isSampled(requestId)) && tryAcquireLine()) {
-            LOG.info(
-                    "answer: a request is answered",
-                    kv("id", requestId),
-                    kv("route", route),
-                    kv("organisation", organisation),
-                    kv("status", status),
-                    kv("outcome", outcome),
-                    kv("reason", reason),
-                    kv("configAgeMs", configAgeMillis));
+            LOG.atInfo()
+                    .addKeyValue("id", requestId)
+                    .addKeyValue("route", route)
+                    .addKeyValue("organisation", organisation)
+                    .addKeyValue("status", status)
+                    .addKeyValue("outcome", outcome)
+                    .addKeyValue("reason", reason)
+                    .addKeyValue("configAgeMs", configAgeMillis)
+                    .log("answer: a request is answered");
         }
     }
 
@@ -55,25 +53,25 @@
     void logAttempt(String requestId, String host, int attempt, String outcome, long durationMillis) {
         boolean failed = !outcome.equals("answered");
         if ((failed || isSampled(requestId)) && tryAcquireLine()) {
-            LOG.info(
-                    "place: a request was sent to a host",
-                    kv("id", requestId),
-                    kv("host", host),
-                    kv("attempt", attempt),
-                    kv("outcome", outcome),
-                    kv("tookMs", durationMillis));
+            LOG.atInfo()
+                    .addKeyValue("id", requestId)
+                    .addKeyValue("host", host)
+                    .addKeyValue("attempt", attempt)
+                    .addKeyValue("outcome", outcome)
+                    .addKeyValue("tookMs", durationMillis)
+                    .log("place: a request was sent to a host");
         }
     }
 
     /** Logs that a caller left before the answer to its request, and the time since the request was read. */
     void logCallerLeft(String requestId, String route, CallerLeft stage, long ageMillis) {
         if (tryAcquireLine()) {
-            LOG.info(
-                    "left: a caller closed its connection",
-                    kv("id", requestId),
-                    kv("route", route),
-                    kv("stage", stage.label()),
-                    kv("ageMs", ageMillis));
+            LOG.atInfo()
+                    .addKeyValue("id", requestId)
+                    .addKeyValue("route", route)
+                    .addKeyValue("stage", stage.label())
+                    .addKeyValue("ageMs", ageMillis)
+                    .log("left: a caller closed its connection");
         }
     }
 
@@ -85,7 +83,7 @@
         long now = clock.millis();
         if (now - windowStartMillis >= WINDOW_MILLIS) {
             if (suppressedLines > 0) {
-                LOG.info("log: decision lines were left out", kv("lines", suppressedLines));
+                LOG.atInfo().addKeyValue("lines", suppressedLines).log("log: decision lines were left out");
             }
             windowStartMillis = now;
             linesInWindow = 0;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarLogging.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarLogging.java
@@ -10,8 +10,6 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
-import net.logstash.logback.encoder.LogstashEncoder;
-import net.logstash.logback.fieldnames.LogstashFieldNames;
 
 /**
  * Configures logging in code, because parsing a configuration file slows down every start. Logback discovers this class
@@ -52,13 +50,8 @@
     }
 
     private static Encoder<ILoggingEvent> jsonEncoder(LoggerContext loggerContext) {
-        LogstashFieldNames names = new LogstashFieldNames();
-        names.setVersion("[ignore]");
-        names.setLevelValue("[ignore]");
-        names.setThread("[ignore]");
-        LogstashEncoder encoder = new LogstashEncoder();
+        JsonLogEncoder encoder = new JsonLogEncoder();
         encoder.setContext(loggerContext);
-        encoder.setFieldNames(names);
         encoder.start();
         return encoder;
     }
