--- a/sidecar/src/main/java/org/trefoilledge/sidecar/DepartedRuns.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/DepartedRuns.java
@@ -1,9 +1,7 @@
 package org.trefoilledge.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 
 /**
  * The runs of the upstream on a host that have announced their end. They never serve again. The runs on a host follow each
@@ -16,7 +14,7 @@
 record DepartedRuns(long throughStartMillis, String deregisteredId, long deregisteredMillis) {
     static final DepartedRuns NONE = new DepartedRuns(Long.MIN_VALUE, "", Long.MIN_VALUE);
 
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Json JSON = new Json();
 
     static DepartedRuns parse(byte[] stored) throws IOException {
         JsonNode record = JSON.readTree(stored);
@@ -30,12 +28,10 @@
     }
 
     byte[] toJson() {
-        return JSON.createObjectNode()
+        return JSON.writeBytes(JSON.createObjectNode()
                 .put("throughStart", throughStartMillis)
                 .put("deregisteredId", deregisteredId)
-                .put("deregisteredAt", deregisteredMillis)
-                .toString()
-                .getBytes(StandardCharsets.UTF_8);
+                .put("deregisteredAt", deregisteredMillis));
     }
 
     /** Returns whether a run has departed. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
@@ -1,9 +1,7 @@
 package org.trefoilledge.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.ServiceId;
@@ -28,7 +26,7 @@
         String upstreamId,
         int slots,
         boolean serving) {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Json JSON = new Json();
     /** Field without a meaning, which nodes of earlier versions require. */
     private static final String LEAVING_RUN = "leavingRun";
 
@@ -89,7 +87,7 @@
     }
 
     byte[] toJson() {
-        return JSON.createObjectNode()
+        return JSON.writeBytes(JSON.createObjectNode()
                 .put("host", host.value())
                 .put("zone", zone.value())
                 .put("peers", peerAddress)
@@ -98,9 +96,7 @@
                 .put("upstream", upstreamId)
                 .put("slots", slots)
                 .put("serving", serving)
-                .put(LEAVING_RUN, 0)
-                .toString()
-                .getBytes(StandardCharsets.UTF_8);
+                .put(LEAVING_RUN, 0));
     }
 
     Candidate toCandidate() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
@@ -1,9 +1,7 @@
 package org.trefoilledge.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -25,7 +23,7 @@
 @SuppressWarnings("FutureReturnValueIgnored") // the handler of each write and removal records its result
 final class RateClaims {
     private static final Logger LOG = LoggerFactory.getLogger(RateClaims.class);
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Json JSON = new Json();
     /** Time after which an unanswered write is repeated on the same condition; the first one may still take effect. */
     private static final long WRITE_RETRY_MILLIS = 500;
 
@@ -69,11 +67,8 @@
         this.store = store;
         this.notes = notes;
         this.handler = handler;
-        this.value = JSON.createObjectNode()
-                .put("host", self.value())
-                .put("incarnation", incarnation.value())
-                .toString()
-                .getBytes(StandardCharsets.UTF_8);
+        this.value = JSON.writeBytes(
+                JSON.createObjectNode().put("host", self.value()).put("incarnation", incarnation.value()));
     }
 
     /** Returns the holder of each claim, as the store shows it. */
