Start: configure Logback directly; records compared at each tick without generated methods

Logback's search for a configuration and the generated equals of records link method handles at each start.

--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
@@ -20,4 +20,15 @@
     public double admittedFraction(RequestClass requestClass) {
         return admittedFractions.getOrDefault(requestClass, 1.0);
     }
+
+    // The generated methods of a record are slow before JIT compilation.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof AdmissionPlan that && that.admittedFractions.equals(admittedFractions);
+    }
+
+    @Override
+    public int hashCode() {
+        return admittedFractions.hashCode();
+    }
 }
--- a/core/src/main/java/org/trefoilledge/core/rate/ClaimPlanner.java
+++ b/core/src/main/java/org/trefoilledge/core/rate/ClaimPlanner.java
@@ -31,7 +31,18 @@
     private Map<HostId, ZoneId> knownNodes = Map.of();
 
     /** The host that holds a claim, and the incarnation of its node. */
-    public record Holder(HostId host, Incarnation incarnation) {}
+    public record Holder(HostId host, Incarnation incarnation) {
+        // The generated methods of a record are slow before JIT compilation.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Holder that && that.host.equals(host) && that.incarnation.equals(incarnation);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * host.hashCode() + incarnation.hashCode();
+        }
+    }
 
     /**
      * Creates a planner for one incarnation of a node.
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/DepartedRuns.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/DepartedRuns.java
@@ -59,4 +59,19 @@
         return new DepartedRuns(
                 Math.max(throughStartMillis, other.throughStartMillis), later.deregisteredId, later.deregisteredMillis);
     }
+
+    // The generated methods of a record are slow before JIT compilation.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof DepartedRuns that
+                && that.throughStartMillis == throughStartMillis
+                && that.deregisteredMillis == deregisteredMillis
+                && that.deregisteredId.equals(deregisteredId);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * Long.hashCode(throughStartMillis) + deregisteredId.hashCode())
+                + Long.hashCode(deregisteredMillis);
+    }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LocalUpstream.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LocalUpstream.java
@@ -36,4 +36,19 @@
     boolean serving() {
         return state == State.SERVING;
     }
+
+    // The generated methods of a record are slow before JIT compilation.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof LocalUpstream that
+                && that.slots == slots
+                && that.state == state
+                && that.id.equals(id)
+                && that.service.equals(service);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * (31 * id.hashCode() + service.hashCode()) + slots) + state.hashCode();
+    }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarLogging.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarLogging.java
@@ -30,6 +30,12 @@
         if (format == null) {
             return ExecutionStatus.INVOKE_NEXT_IF_ANY;
         }
+        configure(loggerContext, format);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    /** Configures a context for the given format, {@code json} or {@code text}. */
+    static void configure(LoggerContext loggerContext, String format) {
         ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
         console.setContext(loggerContext);
         console.setEncoder(format.equals("json") ? jsonEncoder(loggerContext) : textEncoder(loggerContext));
@@ -46,7 +52,6 @@
         Logger root = loggerContext.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.toLevel(System.getProperty(LEVEL_PROPERTY), Level.INFO));
         root.addAppender(asyncAppender);
-        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 
     private static Encoder<ILoggingEvent> jsonEncoder(LoggerContext loggerContext) {
