--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
@@ -38,4 +38,16 @@
     public boolean isLimitedByRetries(RequestClass requestClass) {
         return limitedByRetries.contains(requestClass);
     }
+
+    // The generated methods of a record are slow before JIT compilation.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof AdmissionPlan that && that.admittedFractions.equals(admittedFractions)
+                && that.limitedByRetries.equals(limitedByRetries);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * admittedFractions.hashCode() + limitedByRetries.hashCode();
+    }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
@@ -1,10 +1,8 @@
 package org.trefoilledge.sidecar;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -30,7 +28,7 @@
 @SuppressWarnings("FutureReturnValueIgnored") // the handler of each write and removal records its result
 final class RateClaims {
     private static final Logger LOG = LoggerFactory.getLogger(RateClaims.class);
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Json JSON = new Json();
     /** Time after which an unanswered write is repeated on the same condition; the first one may still take effect. */
     private static final long WRITE_RETRY_MILLIS = 500;
     /** Added to the duration of a lease, because the clocks of two hosts run at slightly different speeds. */
@@ -106,7 +104,7 @@
         if (!restoring) {
             store.epoch().ifPresent(epoch -> entry.put(EPOCH_FIELD, epoch));
         }
-        return entry.toString().getBytes(StandardCharsets.UTF_8);
+        return JSON.writeBytes(entry);
     }
 
     /**
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarLogging.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarLogging.java
@@ -10,8 +10,6 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.spi.ContextAwareBase;
-import net.logstash.logback.encoder.LogstashEncoder;
-import net.logstash.logback.fieldnames.LogstashFieldNames;
 
 /**
  * Configures logging in code, because parsing a configuration file slows down every start. Logback discovers this class
@@ -32,6 +30,12 @@
         if (format == null) {
             return ExecutionStatus.INVOKE_NEXT_IF_ANY;
         }
+        configure(loggerContext, format);
+        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+    }
+
+    /** Configures a context for the given format, {@code json} or {@code text}. */
+    static void configure(LoggerContext loggerContext, String format) {
         ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
         console.setContext(loggerContext);
         console.setEncoder(format.equals("json") ? jsonEncoder(loggerContext) : textEncoder(loggerContext));
@@ -48,17 +52,11 @@
         Logger root = loggerContext.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.toLevel(System.getProperty(LEVEL_PROPERTY), Level.INFO));
         root.addAppender(asyncAppender);
-        return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
     }
 
     private static Encoder<ILoggingEvent> jsonEncoder(LoggerContext loggerContext) {
-        LogstashFieldNames names = new LogstashFieldNames();
-        names.setVersion("[ignore]");
-        names.setLevelValue("[ignore]");
-        names.setThread("[ignore]");
-        LogstashEncoder encoder = new LogstashEncoder();
+        JsonLogEncoder encoder = new JsonLogEncoder();
         encoder.setContext(loggerContext);
-        encoder.setFieldNames(names);
         encoder.start();
         return encoder;
     }
