Limit requests to cold upstreams at the gate beside them

Cause: an upstream that has just started handles few requests and crashes under its usual share.

Change: ColdStart (core) limits what the gate, the only path to the upstream, sends while the upstream is cold or may be: as announced, after a new run, a broken or refused connection, a missing announcement, and the start of the sidecar. Doubt ends with an announcement sent after the event or with a health probe. Calls above the rate are refused as not executed and go elsewhere without using an attempt. The directory entry and the load reports say that an upstream is cold; placement prefers warm ones and sends each new upstream a first call. Services state cold_start_s, cold_per_s and health_path in the configuration. Without the bounds cold-over and cold-slack nothing is limited or written.

Measured: ColdStartTest replays bursts, jitter, restarts of the upstream and of the sidecar over 60 s for six rates; no second reaches its bound. ColdUpstreamGateTest (9), PlacerTest, DispatcherTest (16), DirectoryTest, MemberTest and SidecarFleetTest pass.

--- a/core/src/main/java/org/trefoilledge/core/placement/Candidate.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Candidate.java
@@ -12,9 +12,22 @@
  * @param peerAddress address of the node on the upstream's host
  * @param incarnation run of that node; a new run starts without recorded load and failures
  * @param slots number of concurrent calls that the upstream announced
+ * @param cold whether the upstream handles few requests for now, because it has just started
  */
 public record Candidate(
-        HostId host, ZoneId zone, ServiceId service, String peerAddress, Incarnation incarnation, int slots) {
+        HostId host,
+        ZoneId zone,
+        ServiceId service,
+        String peerAddress,
+        Incarnation incarnation,
+        int slots,
+        boolean cold) {
+    /** Creates a candidate that is not cold. */
+    public Candidate(
+            HostId host, ZoneId zone, ServiceId service, String peerAddress, Incarnation incarnation, int slots) {
+        this(host, zone, service, peerAddress, incarnation, slots, false);
+    }
+
     /** Checks that every field is present and that there is at least one slot. */
     public Candidate {
         Objects.requireNonNull(host, "host");
--- a/core/src/main/java/org/trefoilledge/core/placement/Placer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Placer.java
@@ -16,13 +16,18 @@
  * Chooses an upstream for each call. The upstream on the local host is preferred while it has capacity, which avoids a
  * hop to another node, then the upstreams of the local zone. Within a zone, the less loaded of two random upstreams is
  * chosen; an upstream is ejected for a time after consecutive unreachable calls. The estimated load of an upstream that
- * is reachable but fails some of its calls increases with its failure rate. Thread-safe.
+ * is reachable but fails some of its calls increases with its failure rate. Cold upstreams get a first call from each
+ * node and are used after the others. Thread-safe.
  */
 public final class Placer {
     /** Estimated load up to which the upstream on the local host is preferred; no call waits for a slot there. */
     private static final double MAX_LOCAL_HOST_LOAD = 0.5;
     /** Load by which an upstream of another zone must be below the local one, so that zones do not swap their calls. */
     private static final double MIN_LOAD_GAIN = 0.1;
+    /** Load that is added to a cold upstream, so that a warm one is preferred unless it is much busier. */
+    private static final double COLD_LOAD = 0.25;
+    /** Load from which a cold upstream is avoided. It reports a load of 1 when its rate allows no call at the moment. */
+    private static final double MAX_COLD_LOAD = 0.75;
 
     private final HostId localHost;
     private final ZoneId localZone;
@@ -65,6 +70,7 @@
                 && local.candidate().service().equals(service)
                 && !excluded.contains(localHost)
                 && !local.isEjected(now)
+                && !local.candidate().cold()
                 && local.load(now) <= MAX_LOCAL_HOST_LOAD;
         Upstream chosen = useLocal ? local : chooseByZone(candidates, excluded, now, random);
         return chosen == null ? Optional.empty() : Optional.of(chosen.candidate());
@@ -147,7 +153,24 @@
             return first;
         }
         Upstream second = pickRandom(group, first, excluded, includeEjected, now, random);
-        return second != null && second.load(now) < first.load(now) ? second : first;
+        if (second == null || isUntriedCold(first)) {
+            return first;
+        }
+        return isUntriedCold(second) || comparedLoad(second, now) < comparedLoad(first, now) ? second : first;
+    }
+
+    /** Returns whether a cold upstream has not got a call from this node yet. Each new upstream gets some calls at once. */
+    private static boolean isUntriedCold(Upstream upstream) {
+        return upstream.candidate().cold() && !upstream.isTried();
+    }
+
+    private static double comparedLoad(Upstream upstream, long now) {
+        return upstream.load(now) + (upstream.candidate().cold() ? COLD_LOAD : 0);
+    }
+
+    /** Returns whether an upstream is used only if there are no others: it is ejected, or cold and full. */
+    private static boolean isAvoided(Upstream upstream, long now) {
+        return upstream.isEjected(now) || (upstream.candidate().cold() && upstream.load(now) >= MAX_COLD_LOAD);
     }
 
     /** Returns a uniformly random usable upstream, or null if there is none. */
@@ -161,7 +184,7 @@
         Upstream chosen = null;
         int usable = 0;
         for (Upstream upstream : group) {
-            if (upstream == except || (!includeEjected && upstream.isEjected(now))) {
+            if (upstream == except || (!includeEjected && isAvoided(upstream, now))) {
                 continue;
             }
             if (excluded.contains(upstream.candidate().host())) {
@@ -175,12 +198,12 @@
         return chosen;
     }
 
-    /** Returns the mean load of the upstreams that are not ejected, or 0 if there is none. */
+    /** Returns the mean load of the upstreams that are neither ejected nor cold, or 0 if there is none. */
     private static double meanLoad(Upstream[] group, long now) {
         double sum = 0;
         int usable = 0;
         for (Upstream upstream : group) {
-            if (!upstream.isEjected(now)) {
+            if (!upstream.isEjected(now) && !upstream.candidate().cold()) {
                 sum += upstream.load(now);
                 usable++;
             }
--- a/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
@@ -20,6 +20,9 @@
     private volatile ReceivedReport lastReport;
     private volatile long ejectedUntilMillis = Long.MIN_VALUE;
     private volatile FailureRate failureRate = new FailureRate(0, 0);
+    /** Whether a call was sent to this upstream. */
+    private volatile boolean tried;
+
     private int consecutiveFailures;
     private int consecutiveEjections;
 
@@ -43,7 +46,12 @@
         return candidate;
     }
 
+    boolean isTried() {
+        return tried;
+    }
+
     void recordStart() {
+        tried = true;
         inFlight.incrementAndGet();
     }
 
--- a/core/src/main/java/org/trefoilledge/core/routing/RoutingConfig.java
+++ b/core/src/main/java/org/trefoilledge/core/routing/RoutingConfig.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.RouteId;
+import org.trefoilledge.core.ServiceId;
 
 /** One version of the operator's configuration, indexed for lookups. Immutable. */
 public final class RoutingConfig {
@@ -19,9 +20,10 @@
     private final Map<OrganisationId, OrganisationPolicy> organisations;
     private final Map<String, OrganisationPolicy> organisationsByKey;
     private final Map<RouteId, HostRoute> routesById;
+    private final Map<ServiceId, ServicePolicy> services;
 
     /**
-     * Creates a configuration.
+     * Creates a configuration without policies of services.
      *
      * @throws IllegalArgumentException if two organisations share a key
      */
@@ -30,6 +32,20 @@
             CallerLimits callerLimits,
             Collection<HostRoute> routes,
             Collection<OrganisationPolicy> organisations) {
+        this(version, callerLimits, routes, organisations, List.of());
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @throws IllegalArgumentException if two organisations share a key
+     */
+    public RoutingConfig(
+            long version,
+            CallerLimits callerLimits,
+            Collection<HostRoute> routes,
+            Collection<OrganisationPolicy> organisations,
+            Collection<ServicePolicy> services) {
         this.version = version;
         this.callerLimits = callerLimits;
         this.routesByHost = groupByHost(routes);
@@ -48,6 +64,9 @@
         }
         this.organisations = Map.copyOf(byId);
         this.organisationsByKey = Map.copyOf(byKey);
+        Map<ServiceId, ServicePolicy> byService = new HashMap<>();
+        services.forEach(service -> byService.put(service.id(), service));
+        this.services = Map.copyOf(byService);
     }
 
     /** Returns the version, which increases with each change. */
@@ -65,6 +84,11 @@
         return Optional.ofNullable(routesById.get(id));
     }
 
+    /** Returns the policy of a service, if there is one. */
+    public Optional<ServicePolicy> service(ServiceId id) {
+        return Optional.ofNullable(services.get(id));
+    }
+
     /** Returns the organisations by their id. */
     public Map<OrganisationId, OrganisationPolicy> organisations() {
         return organisations;
--- a/core/src/test/java/org/trefoilledge/core/placement/PlacerTest.java
+++ b/core/src/test/java/org/trefoilledge/core/placement/PlacerTest.java
@@ -31,6 +31,10 @@
         return new Candidate(new HostId(host), zone, STOCK, "127.0.0.1:1", new Incarnation(incarnation), 10);
     }
 
+    private static Candidate cold(String host, ZoneId zone) {
+        return new Candidate(new HostId(host), zone, STOCK, "127.0.0.1:1", new Incarnation(1), 10, true);
+    }
+
     private static List<Candidate> candidates(String prefix, ZoneId zone, int count) {
         List<Candidate> candidates = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -138,6 +142,62 @@
         assertThat(placedHosts(0)).containsExactlyInAnyOrder("d0", "d1");
     }
 
+    /** Guards against a new upstream that gets no calls for as long as it is cold. */
+    @Test
+    void coldUpstreamGetsAFirstCallThoughOthersAreIdle() {
+        List<Candidate> all = candidates("n", LOCAL_ZONE, 4);
+        all.add(cold("cold", LOCAL_ZONE));
+        placer.updateCandidates(all);
+
+        assertThat(placedHosts(0)).contains("cold");
+    }
+
+    /** Guards against a full share of the calls for an upstream that handles few. */
+    @Test
+    void warmUpstreamsArePreferredToATriedColdOne() {
+        List<Candidate> all = candidates("n", LOCAL_ZONE, 4);
+        all.add(cold("cold", LOCAL_ZONE));
+        placer.updateCandidates(all);
+        placer.recordStart(new HostId("cold"), 0);
+        placer.recordEnd(new HostId("cold"), Optional.of(new LoadReport(0, 1, 0, 0)), true, 0);
+
+        assertThat(placedHosts(0)).containsExactlyInAnyOrder("n0", "n1", "n2", "n3");
+    }
+
+    @Test
+    void localColdUpstreamIsNotPreferred() {
+        List<Candidate> all = candidates("n", LOCAL_ZONE, 4);
+        all.add(cold(LOCAL_HOST.value(), LOCAL_ZONE));
+        placer.updateCandidates(all);
+        placer.recordStart(LOCAL_HOST, 0);
+
+        assertThat(placedHosts(0)).containsExactlyInAnyOrder("n0", "n1", "n2", "n3");
+    }
+
+    /** Guards against calls that queue behind the rate of a cold upstream while a busy warm one has room. */
+    @Test
+    void coldUpstreamAboveItsLimitIsAvoided() {
+        Candidate warm = candidate("n0", LOCAL_ZONE, 1);
+        placer.updateCandidates(List.of(warm, cold("cold", LOCAL_ZONE)));
+        placer.recordEnd(new HostId("n0"), Optional.of(new LoadReport(12, 10, 0, 0)), true, 0);
+        placer.recordStart(new HostId("cold"), 0);
+        placer.recordEnd(new HostId("cold"), Optional.of(new LoadReport(1, 1, 0, 0)), true, 0);
+
+        assertThat(placedHosts(0)).containsExactly("n0");
+        placer.recordEnd(new HostId("n0"), Optional.of(new LoadReport(12, 10, 0, 0)), true, 900);
+        assertThat(placedHosts(900)).containsExactly("cold");
+    }
+
+    @Test
+    void coldUpstreamsServeWhenAllAreColdAndFull() {
+        placer.updateCandidates(List.of(cold("c0", LOCAL_ZONE), cold("c1", LOCAL_ZONE)));
+        for (String host : List.of("c0", "c1")) {
+            placer.recordEnd(new HostId(host), Optional.of(new LoadReport(1, 1, 0, 0)), true, 0);
+        }
+
+        assertThat(placedHosts(0)).containsExactlyInAnyOrder("c0", "c1");
+    }
+
     @Test
     void serviceWithoutCandidatesHasNoUpstream() {
         assertThat(placer.place(STOCK, Set.of(), 0, random)).isEmpty();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -52,7 +52,9 @@
     private final NodeReports reports;
     private final UpstreamWatch upstreamWatch;
     private final DepartureStore departures;
+    private final ColdEntry coldEntry;
     private LocalUpstream publishedUpstream;
+    private boolean publishedCold;
     private Map<RateClaim, TokenSource.Holder> publishedHolders = Map.of();
     private Set<HostId> publishedSilentHosts = Set.of();
     private long followingSinceMillis;
@@ -100,6 +102,7 @@
                 new ReportEffects());
         upstreamWatch =
                 new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis(), System::currentTimeMillis);
+        coldEntry = new ColdEntry(settings, configState, traffic, leaseClock);
         departures = new DepartureStore(control, store, notes, settings.host(), random, this::restoreDepartures);
         publishedUpstream = LocalUpstream.none(settings.service());
     }
@@ -123,6 +126,7 @@
      */
     CompletableFuture<Boolean> applyAnnouncement(Announcement announcement) {
         boolean valid = upstreamWatch.applyAnnouncement(announcement, clock.millis());
+        upstreamWatch.takeNewest().ifPresent(coldEntry::announce);
         publishUpstreamIfChanged();
         return valid && announcement.announcesEnd()
                 ? departures.save(upstreamWatch.departed()).thenApply(saved -> true)
@@ -205,11 +209,15 @@
 
     private void publishUpstreamIfChanged() {
         LocalUpstream current = effectiveUpstream();
-        if (current.equals(publishedUpstream)) {
+        boolean cold = coldEntry.isCold();
+        if (current.equals(publishedUpstream) && cold == publishedCold) {
             return;
         }
-        publishedUpstream = current;
-        traffic.setUpstream(current);
+        if (!current.equals(publishedUpstream)) {
+            publishedUpstream = current;
+            traffic.setUpstream(current);
+        }
+        publishedCold = cold;
         registration.update(selfEntry());
         publishCandidates();
     }
@@ -224,7 +232,8 @@
                 settings.service(),
                 upstream.id(),
                 upstream.slots(),
-                upstream.serving() && !stopping);
+                upstream.serving() && !stopping,
+                publishedCold);
     }
 
     private void publishMembers() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -143,6 +143,9 @@
         /** Attempts that an upstream has received or may have received. */
         private int countedAttempts;
 
+        /** Longest time until the rate of a cold upstream that has refused the request allows more, 0 without one. */
+        private long retryAfterMillis;
+
         private boolean mayHaveRun;
         private boolean done;
         private int attemptNumber;
@@ -161,7 +164,8 @@
             Optional<Candidate> selected = selectCandidate(request.service(), triedHosts, now);
             if (selected.isEmpty()) {
                 gate.markUnderPressure();
-                complete(Refusals.refusal(ErrorKind.NO_UPSTREAM, "no upstream of " + request.service() + " is left"));
+                complete(Refusals.refusal(
+                        ErrorKind.NO_UPSTREAM, retryAfterMillis, "no upstream of " + request.service() + " is left"));
                 return;
             }
             Candidate candidate = selected.get();
@@ -248,14 +252,19 @@
             mayHaveRun |= !notRun;
             countedAttempts += reachedUpstream ? 1 : 0;
             triedHosts.add(attemptHost);
+            if (ColdStartControl.isRefusal(outcome)) {
+                retryAfterMillis = Math.max(retryAfterMillis, outcome.getRetryAfterMillis());
+            }
             boolean failed = Refusals.isRefusal(outcome) || outcome.getStatus() >= 500;
             if (!failed || !mayRetry(outcome, now)) {
                 complete(outcome);
                 return;
             }
             if (!reachedUpstream) {
-                uncountedRetriesLeft -=
-                        Refusals.isRefusal(outcome, ErrorKind.OVERLOADED) ? MAX_UNCOUNTED_RETRIES / 2 : 1;
+                // A cold upstream says nothing about the load of the others.
+                boolean overloaded =
+                        Refusals.isRefusal(outcome, ErrorKind.OVERLOADED) && !ColdStartControl.isRefusal(outcome);
+                uncountedRetriesLeft -= overloaded ? MAX_UNCOUNTED_RETRIES / 2 : 1;
                 backOffHost(outcome, now);
                 startNextAttempt(now);
             } else if (retryBudgets(request.service()).tryRetry(retryCost(), now)) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/HeaderNames.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/HeaderNames.java
@@ -11,6 +11,8 @@
  * @param expectedUpstream id of the upstream that the request is meant for; any other upstream refuses it
  * @param notExecuted present in the response of an upstream that has not executed the request
  * @param signature marks genuine responses of an upstream; required on successful responses
+ * @param upstreamId id of the upstream that responds to a health probe
+ * @param coldMillis time for which that upstream is still cold, in milliseconds; absent if it is warm
  */
 public record HeaderNames(
         String requestId,
@@ -20,4 +22,6 @@
         String callerService,
         String expectedUpstream,
         String notExecuted,
-        String signature) {}
+        String signature,
+        String upstreamId,
+        String coldMillis) {}
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Member.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.trefoilledge.core.HostId;
@@ -18,6 +19,7 @@
  * @param upstreamId instance id of the upstream, empty if there is none
  * @param slots number of requests that the upstream processes concurrently
  * @param serving whether the upstream accepts requests
+ * @param cold whether the upstream is treated as cold, so that it gets few requests
  */
 record Member(
         HostId host,
@@ -27,10 +29,26 @@
         ServiceId service,
         String upstreamId,
         int slots,
-        boolean serving) {
+        boolean serving,
+        boolean cold) {
     private static final ObjectMapper JSON = new ObjectMapper();
     /** Field without a meaning, which nodes of earlier versions require. */
     private static final String LEAVING_RUN = "leavingRun";
+    /** Flag that is absent unless it is true, as in the entries of earlier versions. */
+    private static final String COLD = "cold";
+
+    /** Creates the entry of a sidecar whose upstream is not cold. */
+    Member(
+            HostId host,
+            ZoneId zone,
+            String peerAddress,
+            Incarnation incarnation,
+            ServiceId service,
+            String upstreamId,
+            int slots,
+            boolean serving) {
+        this(host, zone, peerAddress, incarnation, service, upstreamId, slots, serving, false);
+    }
 
     static Member parse(byte[] stored) throws IOException {
         JsonNode entry = JSON.readTree(stored);
@@ -44,7 +62,8 @@
                     new ServiceId(requireText(entry, "service")),
                     requireText(entry, "upstream"),
                     requireSlots(entry, "slots"),
-                    requireFlag(entry, "serving"));
+                    requireFlag(entry, "serving"),
+                    entry.path(COLD).asBoolean(false));
         } catch (IllegalArgumentException e) {
             throw new IOException("invalid member entry: " + e.getMessage(), e);
         }
@@ -89,7 +108,7 @@
     }
 
     byte[] toJson() {
-        return JSON.createObjectNode()
+        ObjectNode entry = JSON.createObjectNode()
                 .put("host", host.value())
                 .put("zone", zone.value())
                 .put("peers", peerAddress)
@@ -98,12 +117,14 @@
                 .put("upstream", upstreamId)
                 .put("slots", slots)
                 .put("serving", serving)
-                .put(LEAVING_RUN, 0)
-                .toString()
-                .getBytes(StandardCharsets.UTF_8);
+                .put(LEAVING_RUN, 0);
+        if (cold) {
+            entry.put(COLD, true);
+        }
+        return entry.toString().getBytes(StandardCharsets.UTF_8);
     }
 
     Candidate toCandidate() {
-        return new Candidate(host, zone, service, peerAddress, incarnation, Math.max(1, slots));
+        return new Candidate(host, zone, service, peerAddress, incarnation, Math.max(1, slots), cold);
     }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -73,7 +73,16 @@
         BodyMemoryLimit bodyMemory = BodyMemoryLimit.forHeap();
         upstreamPool = new UpstreamPool(trafficGroup, settings.upstream(), headerNames, bodyMemory, clock);
         LoadMeter loadMeter = new LoadMeter(settings.service(), clock);
-        gate = new UpstreamGate(trafficLoop, upstreamPool, LocalUpstream.none(settings.service()), loadMeter, clock);
+        ColdStartControl coldStart = new ColdStartControl(
+                settings.bounds().coldRequests(),
+                settings.bounds().heartbeatMillis(),
+                leaseClock,
+                new HealthProbe(trafficGroup, settings.upstream(), headerNames));
+        if (settings.bounds().coldRequests().isPresent()) {
+            coldStart.registerMetrics(metrics);
+        }
+        gate = new UpstreamGate(
+                trafficLoop, upstreamPool, LocalUpstream.none(settings.service()), loadMeter, coldStart, clock);
         RateTolerance tolerance = rateTolerance(settings);
         tokenSource = new TokenSource(settings.host(), settings.zone(), tolerance, leaseClock, this::requestTokens);
         RateLimits limits = new RateLimits(leaseClock, tolerance.tokenLifetimeMillis(), tokenSource);
@@ -115,7 +124,15 @@
                 metrics,
                 peers,
                 new TrafficPlane(
-                        trafficLoop, gate, dispatcher, placer, tokenSource, limits, admission, settings.service()));
+                        trafficLoop,
+                        gate,
+                        dispatcher,
+                        placer,
+                        tokenSource,
+                        limits,
+                        admission,
+                        coldStart,
+                        settings.service()));
     }
 
     /**
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
@@ -1,6 +1,7 @@
 package org.trefoilledge.sidecar;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -83,6 +84,13 @@
                 .register(registry);
     }
 
+    /** Registers a counter whose value is read on every scrape. */
+    void registerCounter(String name, String description, DoubleSupplier value) {
+        FunctionCounter.builder(name, value, DoubleSupplier::getAsDouble)
+                .description(description)
+                .register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     String scrape() {
         return registry.scrape();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
@@ -27,6 +27,8 @@
     private final TokenSource tokens;
     private final RateLimits rateLimits;
     private final AdmissionGate admission;
+    private final ColdStartControl coldStart;
+    private final ServiceId service;
     private volatile NodeLoad lastLoad;
     private AdmissionPlan lastPlan = AdmissionPlan.ADMIT_ALL;
 
@@ -38,6 +40,7 @@
             TokenSource tokens,
             RateLimits rateLimits,
             AdmissionGate admission,
+            ColdStartControl coldStart,
             ServiceId service) {
         this.trafficLoop = trafficLoop;
         this.gate = gate;
@@ -46,6 +49,8 @@
         this.tokens = tokens;
         this.rateLimits = rateLimits;
         this.admission = admission;
+        this.coldStart = coldStart;
+        this.service = service;
         this.lastLoad = NodeLoad.of(service, 0, 0, 0, Map.of(), Map.of());
     }
 
@@ -53,6 +58,16 @@
         trafficLoop.execute(() -> gate.upstream(current));
     }
 
+    /** Passes on the newest announcement, for the limit of requests while the upstream is cold. */
+    void announceCold(Announcement.Heartbeat heartbeat) {
+        trafficLoop.execute(() -> coldStart.announce(heartbeat));
+    }
+
+    /** Returns whether the gate has treated the upstream as cold for so long that other nodes should do so. */
+    boolean isUpstreamCold() {
+        return coldStart.isPublishedCold();
+    }
+
     void setCandidates(List<Candidate> candidates) {
         placer.updateCandidates(candidates);
     }
@@ -73,7 +88,7 @@
         }
     }
 
-    /** Applies the organisations of a configuration: their queue weights and rate limits. */
+    /** Applies a configuration: the queue weights and rate limits of organisations, the policy of the local service. */
     void applyConfig(RoutingConfig config) {
         Map<OrganisationId, Double> weights = new HashMap<>();
         for (OrganisationPolicy policy : config.organisations().values()) {
@@ -84,6 +99,7 @@
                 .toList();
         trafficLoop.execute(() -> {
             gate.organisationWeights(weights);
+            coldStart.configure(config.service(service));
             tokens.configure(limited);
             rateLimits.retain(weights.keySet());
         });
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -59,6 +60,9 @@
     private boolean responseComplete;
     private boolean reused;
     private boolean broken;
+    /** Whether this end closes the connection, or the upstream has said that it will. */
+    private boolean closing;
+
     private long idleSinceMillis;
     /** Idle timeout that the upstream has announced in a Keep-Alive header. */
     private long keepAliveTimeoutMillis = Long.MAX_VALUE;
@@ -111,6 +115,7 @@
         skippedResponses = 0;
         context.writeAndFlush(toHttpRequest(newRequest)).addListener(written -> {
             if (!written.isSuccess()) {
+                recordLostUnlessClosing();
                 fail("cannot write: " + written.cause().getMessage());
             }
         });
@@ -130,6 +135,7 @@
     }
 
     void close() {
+        closing = true;
         context.close();
     }
 
@@ -258,7 +264,7 @@
             fail("no answer within " + MAX_BYTES_BEFORE_HEAD + " bytes");
         }
         if (broken) {
-            context.close();
+            close();
         }
         if (responseComplete) {
             completeRequest();
@@ -282,7 +288,7 @@
         if (reusable && context.channel().isActive()) {
             pool.release(this);
         } else {
-            context.close();
+            close();
         }
         callback.accept(answer);
     }
@@ -325,7 +331,15 @@
         return matcher.find() ? Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND : Long.MAX_VALUE;
     }
 
+    private void recordLostUnlessClosing() {
+        if (!closing) {
+            closing = true;
+            pool.recordConnectionLost();
+        }
+    }
+
     private void fail(String reason) {
+        closing = true;
         broken = true;
         responseComplete = false;
         discardBody();
@@ -342,6 +356,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext unused) {
         pool.remove(this);
+        if (!responseComplete) {
+            recordLostUnlessClosing();
+        }
         if (responseComplete && !broken) {
             completeRequest();
         } else {
@@ -352,6 +369,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
         LOG.debug("upstream: connection failed", cause);
+        if (cause instanceof IOException) {
+            recordLostUnlessClosing();
+        }
         fail(String.valueOf(cause.getMessage()));
     }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
@@ -51,6 +51,7 @@
     private final UpstreamPool pool;
     private final Clock clock;
     private final LoadMeter loadMeter;
+    private final ColdStartControl coldStart;
     private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
     private final Guard guard;
     private LocalUpstream upstream;
@@ -58,6 +59,9 @@
     private ScheduledFuture<?> tickTimer;
     private boolean queueTickScheduled;
     private long lastTicket;
+    /** Pending calls that were sent to the upstream. */
+    private int sentCalls;
+
     private long connectBackoffUntilMillis = Long.MIN_VALUE;
     private boolean stopping;
 
@@ -72,6 +76,7 @@
         /** The running call; null while the call is queued. */
         private UpstreamPool.Execution execution;
 
+        private boolean sent;
         private boolean cancelled;
 
         PendingCall(Call call, long offeredMillis, Consumer<CallAnswer> onAnswer) {
@@ -87,16 +92,29 @@
         }
     }
 
+    /** Creates a gate that limits no cold upstream. */
     UpstreamGate(EventLoop trafficLoop, UpstreamPool pool, LocalUpstream upstream, LoadMeter loadMeter, Clock clock) {
+        this(trafficLoop, pool, upstream, loadMeter, ColdStartControl.disabled(clock), clock);
+    }
+
+    UpstreamGate(
+            EventLoop trafficLoop,
+            UpstreamPool pool,
+            LocalUpstream upstream,
+            LoadMeter loadMeter,
+            ColdStartControl coldStart,
+            Clock clock) {
         this.trafficLoop = trafficLoop;
         this.pool = pool;
         this.upstream = upstream;
         this.loadMeter = loadMeter;
+        this.coldStart = coldStart;
         this.clock = clock;
         // All calls to the upstream pass this gate, so its slots are an exact limit and no adaptive limit is needed.
         this.guard = new Guard(GuardSettings.defaults(upstream.slots())
                 .withMechanisms(EnumSet.of(
                         Mechanism.CONCURRENCY_LIMIT, Mechanism.IMPORTANCE, Mechanism.FAIRNESS, Mechanism.DEADLINES)));
+        pool.onConnectionLost(coldStart::suspect);
     }
 
     /** Sets the state of the upstream. Refuses the queued calls if it is no longer serving. */
@@ -106,6 +124,7 @@
             connectBackoffUntilMillis = Long.MIN_VALUE;
         }
         upstream = current;
+        coldStart.upstreamId(current.id());
         guard.configure(upstream.slots(), organisationWeights);
         if (!upstream.serving()) {
             refuseQueued();
@@ -134,7 +153,7 @@
 
     /** Ends the current interval of the load meter and returns the load. */
     NodeLoad sampleLoad() {
-        int slots = stopping || !upstream.serving() ? 0 : upstream.slots();
+        int slots = stopping || !upstream.serving() ? 0 : coldStart.reduceSlots(upstream.slots());
         return loadMeter.sample(slots, loadReport().queueDelayMillis());
     }
 
@@ -202,7 +221,25 @@
         if (upstream.state() == LocalUpstream.State.GONE || now < connectBackoffUntilMillis) {
             return Refusals.refusal(ErrorKind.NO_UPSTREAM, "no upstream is announced or it accepts no connection");
         }
-        return null;
+        return coldStart.refusalForOffer(unsentCalls());
+    }
+
+    private int unsentCalls() {
+        return pendingCalls.size() - sentCalls;
+    }
+
+    /** Refuses queued calls that a cold upstream cannot get soon. */
+    private void refuseQueuedAboveColdRate() {
+        for (Map.Entry<Long, PendingCall> entry : List.copyOf(pendingCalls.entrySet())) {
+            if (!coldStart.isLimiting() || guard.running() == pendingCalls.size()) {
+                return;
+            }
+            CallAnswer refusal = entry.getValue().isRunning() ? null : coldStart.refusalForOffer(unsentCalls() - 1);
+            if (refusal != null) {
+                guard.cancel(entry.getKey(), clock.millis());
+                complete(entry.getKey(), refusal);
+            }
+        }
     }
 
     private void refuseQueued() {
@@ -248,15 +285,29 @@
         pending.startedMillis = clock.millis();
         RouteId route = pending.route;
         loadMeter.started(route, pending.startedMillis - pending.offeredMillis);
-        var request = new UpstreamPool.UpstreamRequest(pending.call, upstream.id(), pending.deadlineMillis);
+        var request = new UpstreamPool.UpstreamRequest(
+                pending.call, upstream.id(), pending.deadlineMillis, () -> refusalForSend(pending));
         pending.execution = pool.execute(request, answer -> {
             loadMeter.ended(route, clock.millis() - pending.startedMillis);
             handleAnswer(ticket, answer);
         });
     }
 
+    private CallAnswer refusalForSend(PendingCall pending) {
+        CallAnswer refusal = coldStart.refusalForSend();
+        if (refusal == null) {
+            pending.sent = true;
+            sentCalls++;
+        }
+        return refusal;
+    }
+
     private void handleAnswer(long ticket, CallAnswer answer) {
         long now = clock.millis();
+        PendingCall pending = pendingCalls.get(ticket);
+        if (pending != null && pending.sent) {
+            coldStart.recordExecution(now - pending.startedMillis);
+        }
         if (Refusals.isRefusal(answer, ErrorKind.NO_UPSTREAM)) {
             connectBackoffUntilMillis = now + CONNECT_BACKOFF_MILLIS;
         }
@@ -267,6 +318,7 @@
 
     private void complete(long ticket, CallAnswer answer) {
         PendingCall pending = pendingCalls.remove(ticket);
+        sentCalls -= pending != null && pending.sent ? 1 : 0;
         if (pending != null && !pending.cancelled) {
             boolean makesCalls = loadMeter.makesCalls(pending.route);
             pending.onAnswer.accept(withLoad(answer.toBuilder().setMakesCalls(makesCalls)));
@@ -275,7 +327,7 @@
 
     /** Adds the load of this gate, by which other nodes choose among upstreams. */
     private CallAnswer withLoad(CallAnswer.Builder answer) {
-        LoadReport load = loadReport();
+        LoadReport load = coldStart.reduceLimit(loadReport());
         return answer.setInFlight(load.inFlight())
                 .setLimit(load.limit())
                 .setQueueDelayMillis((int) load.queueDelayMillis())
@@ -299,6 +351,7 @@
         tickTimer = null;
         long now = clock.millis();
         performActions(guard.tick(now));
+        refuseQueuedAboveColdRate();
         for (PendingCall pending : List.copyOf(pendingCalls.values())) {
             if (pending.isRunning() && now > pending.deadlineMillis + ABORT_DELAY_MILLIS) {
                 pending.execution.abort();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
@@ -41,6 +41,7 @@
     private final Clock clock;
     private final DeferredActions unsent;
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
+    private Consumer<String> onConnectionLost = reason -> {};
     private long connectionsOpened;
 
     UpstreamPool(
@@ -57,8 +58,20 @@
         this.unsent = new DeferredActions(trafficGroup.next());
     }
 
-    /** A call with the id of the upstream that is to execute it, and the time of its deadline. */
-    record UpstreamRequest(Call call, String upstreamId, long deadlineMillis) {}
+    /** Decides at the last moment whether a request may be sent. */
+    @FunctionalInterface
+    interface SendPermit {
+        /** Returns the refusal of a request that must not be sent now, or null if it is sent now. */
+        CallAnswer refusal();
+    }
+
+    /** A call with the id of the upstream that is to execute it, the time of its deadline and the permit to send it. */
+    record UpstreamRequest(Call call, String upstreamId, long deadlineMillis, SendPermit permit) {
+        /** Creates a request that may be sent at any time. */
+        UpstreamRequest(Call call, String upstreamId, long deadlineMillis) {
+            this(call, upstreamId, deadlineMillis, () -> null);
+        }
+    }
 
     /** A request that is being sent or executed. */
     interface Execution {
@@ -81,6 +94,11 @@
         return pending;
     }
 
+    /** Sets what happens, with a reason, when the upstream refuses or closes a connection without having said so. */
+    void onConnectionLost(Consumer<String> listener) {
+        onConnectionLost = listener;
+    }
+
     /** Closes all idle connections, for example because another upstream now listens on the address. */
     void closeIdle() {
         List.copyOf(idleConnections).forEach(UpstreamConnection::close);
@@ -111,6 +129,11 @@
         idleConnections.remove(connection);
     }
 
+    /** Records that the upstream has closed a connection without having said so. */
+    void recordConnectionLost() {
+        onConnectionLost.accept("a connection broke");
+    }
+
     HeaderNames headerNames() {
         return headerNames;
     }
@@ -175,7 +198,11 @@
             }
             UpstreamConnection idle = pollReusable(request.call().getIdempotent());
             if (idle != null) {
-                sendOn(idle);
+                if (refuseIfNotPermitted()) {
+                    release(idle);
+                } else {
+                    sendOn(idle);
+                }
                 return;
             }
             UpstreamConnection opening = new UpstreamConnection(UpstreamPool.this);
@@ -188,11 +215,12 @@
                 return;
             }
             LOG.info("upstream: cannot connect: {}", cause.getMessage());
+            onConnectionLost.accept("it accepts no connection");
             onAnswer.accept(Refusals.refusal(ErrorKind.NO_UPSTREAM, "the upstream accepts no connection"));
         }
 
         private void sendOnOpened(UpstreamConnection connection) {
-            if (refuseIfOver()) {
+            if (refuseIfOver() || refuseIfNotPermitted()) {
                 connection.releaseUnused();
             } else {
                 sendOn(connection);
@@ -214,6 +242,14 @@
             return aborted || expired;
         }
 
+        private boolean refuseIfNotPermitted() {
+            CallAnswer refusal = request.permit().refusal();
+            if (refusal != null) {
+                onAnswer.accept(refusal);
+            }
+            return refusal != null;
+        }
+
         @Override
         public void abort() {
             aborted = true;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamWatch.java
@@ -1,5 +1,6 @@
 package org.trefoilledge.sidecar;
 
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -26,6 +27,8 @@
 
     private boolean deregistered;
     private DepartedRuns departed = DepartedRuns.NONE;
+    /** The newest heartbeat, until it is taken. */
+    private Optional<Announcement.Heartbeat> newest = Optional.empty();
 
     /** @param wallClock time of day in milliseconds, by which upstreams state their start */
     UpstreamWatch(ServiceId service, long heartbeatMillis, LongSupplier wallClock) {
@@ -44,6 +47,13 @@
         return departed;
     }
 
+    /** Returns the newest heartbeat if it was not returned before. Late heartbeats, which are ignored, are left out. */
+    Optional<Announcement.Heartbeat> takeNewest() {
+        Optional<Announcement.Heartbeat> taken = newest;
+        newest = Optional.empty();
+        return taken;
+    }
+
     /** Applies an announcement; returns whether the announcement is valid. */
     boolean applyAnnouncement(Announcement announcement, long now) {
         if (announcement instanceof Announcement.Heartbeat heartbeat) {
@@ -104,6 +114,7 @@
         deregistered &= sameRun;
         lastSequence = heartbeat.sequence();
         lastHeartbeatMillis = now;
+        newest = Optional.of(heartbeat);
         LocalUpstream.State state = departed.includes(heartbeat.id(), startedMillis)
                 ? LocalUpstream.State.DRAINING
                 : LocalUpstream.State.SERVING;
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -155,6 +155,19 @@
         assertThat(Refusals.isNotRun(answer)).isTrue();
     }
 
+    /** Guards against callers that retry at once while the rates of all upstreams, which are cold, are used up. */
+    @Test
+    void requestThatOnlyColdUpstreamsRefusedTellsWhenTheyAcceptMore() throws Exception {
+        setAnswers(
+                Refusals.refusal(ErrorKind.OVERLOADED, 300, "the upstream is cold"),
+                Refusals.refusal(ErrorKind.OVERLOADED, 200, "the upstream is cold"));
+        CallAnswer answer = dispatch(false, 1);
+
+        assertThat(totalCalls()).isEqualTo(2);
+        assertThat(Refusals.isNotRun(answer)).isTrue();
+        assertThat(answer.getRetryAfterMillis()).isEqualTo(300);
+    }
+
     @Test
     void doesNotRetryNonIdempotentRequestThatMayHaveRun() throws Exception {
         CallAnswer lost = Refusals.refusal(ErrorKind.UPSTREAM_FAILED, "connection reset");
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamStub.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamStub.java
@@ -17,6 +17,7 @@
     private final ServerSocket listener;
     private final Responder responder;
     private final List<String> requestHeads = new CopyOnWriteArrayList<>();
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     /** Writes the response to a request. */
     @FunctionalInterface
@@ -41,6 +42,13 @@
         return requestHeads;
     }
 
+    /** Closes all connections, as when the upstream is restarted. */
+    void closeConnections() throws IOException {
+        for (Socket socket : connections) {
+            socket.close();
+        }
+    }
+
     static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.US_ASCII));
         out.flush();
@@ -56,6 +64,7 @@
         while (!listener.isClosed()) {
             try {
                 Socket socket = listener.accept();
+                connections.add(socket);
                 Thread worker = new Thread(() -> serve(socket), "stub-connection");
                 worker.setDaemon(true);
                 worker.start();
