Keep requests out of zones that operators evacuate

Cause: operators evacuate an availability zone with a key in the store; nothing read it.

Change: with bounds.evacuation-s, a node that reads the configuration lists the operators' keys in the same call, and a node that sees such a key change in its watch reads again at once. All other nodes receive the state, with its age, in the reports between nodes; the newest read wins. Every node leaves evacuated zones out of placement, and the gate in such a zone refuses queued and new calls as not executed. A node is not ready, and its gate is closed, until it knows the state. After a revocation the upstream may be cold. Without the bound, the configuration is read with the same call as before.

Measured: EvacuationStateTest (9) and EvacuationTest (7, two zones, three sidecars on loopback), DispatcherTest and WireNamesTest pass.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -53,8 +53,10 @@
     private final UpstreamWatch upstreamWatch;
     private final DepartureStore departures;
     private final ColdEntry coldEntry;
+    private final EvacuationState evacuations;
     private LocalUpstream publishedUpstream;
     private boolean publishedCold;
+    private boolean ownZoneEvacuated;
     private Map<RateClaim, TokenSource.Holder> publishedHolders = Map.of();
     private Set<HostId> publishedSilentHosts = Set.of();
     private long followingSinceMillis;
@@ -80,20 +82,42 @@
         this.configState = configState;
         this.traffic = traffic;
         StoreNotes notes = new StoreNotes(metrics);
+        evacuations = new EvacuationState(settings.bounds().evacuationMillis().isPresent(), leaseClock);
+        if (evacuations.isActive()) {
+            startFollowingEvacuations(metrics);
+        }
         registration = new Registration(control, store, notes, leaseClock, random, this::reloadDepartures);
         ClaimPlanner plan = new ClaimPlanner(settings.host(), incarnation, settings.zone(), settings.zones());
         claims = new RateClaims(settings.host(), incarnation, plan, store, notes, new ClaimEffects());
         directory = new Directory(settings.host(), settings.zone(), claims::applyChange);
         follower = new StoreFollower(
-                control, store, notes, platform, configState, directory, clock, random, new StoreListener());
+                control,
+                store,
+                notes,
+                platform,
+                configState,
+                evacuations,
+                directory,
+                clock,
+                random,
+                new StoreListener());
         ConfigFetch configs = new ConfigFetch(control, peers, configState, follower::applyConfig);
         collector = new ZoneCollector(
-                settings.host(), settings.zone(), incarnation, peers, configState, directory, configs, clock);
+                settings.host(),
+                settings.zone(),
+                incarnation,
+                peers,
+                configState,
+                evacuations,
+                directory,
+                configs,
+                clock);
         reports = new NodeReports(
                 settings.host(),
                 settings.zone(),
                 peers,
                 configState,
+                evacuations,
                 directory,
                 collector,
                 configs,
@@ -115,9 +139,21 @@
         Repeated.scheduleWithFixedDelay(control, ZONE_EXCHANGE_INTERVAL_MILLIS, collector::reportToOtherZones);
     }
 
-    /** Returns whether the directory of nodes is complete. */
+    private void startFollowingEvacuations(SidecarMetrics metrics) {
+        traffic.closeGate("it is not known yet whether the zone is evacuated");
+        evacuations.onChange(this::applyEvacuations);
+        metrics.registerGauge(
+                "trefoilledge.evacuation.age",
+                "Time since the read that returned the evacuated zones in milliseconds",
+                evacuations::ageMillis);
+        metrics.registerGauge("trefoilledge.evacuation.zones", "Number of evacuated zones", () -> evacuations
+                .zones()
+                .size());
+    }
+
+    /** Returns whether the directory of nodes is complete and the evacuated zones are known. */
     boolean ready() {
-        return directory.complete();
+        return directory.complete() && evacuations.isKnown();
     }
 
     /**
@@ -222,6 +258,17 @@
         publishCandidates();
     }
 
+    private void applyEvacuations() {
+        boolean evacuated = evacuations.includes(settings.zone());
+        if (evacuated) {
+            traffic.closeGate("the zone is evacuated");
+        } else {
+            traffic.openGate(ownZoneEvacuated);
+        }
+        ownZoneEvacuated = evacuated;
+        publishCandidates();
+    }
+
     private Member selfEntry() {
         LocalUpstream upstream = effectiveUpstream();
         return new Member(
@@ -254,7 +301,11 @@
         if (self.serving()) {
             candidates.add(self.toCandidate());
         }
-        traffic.setCandidates(candidates);
+        EvacuationPlan plan = EvacuationPlan.of(candidates, evacuations.zones());
+        traffic.setCandidates(plan.candidates());
+        if (evacuations.isActive()) {
+            traffic.setEmptiedServices(plan.emptiedServices());
+        }
     }
 
     /** Publishes the holders of the claims, with their addresses, to the traffic thread. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -36,6 +36,8 @@
     private static final double RETRY_COST_WITH_CALLS = 3;
     /** A request is retried only if at least this much time is left until its deadline. */
     private static final long MIN_RETRY_TIME_MILLIS = 10;
+    /** Retry-After of requests to a service whose upstreams are all in evacuated zones; evacuations last for longer. */
+    private static final long EVACUATED_RETRY_AFTER_MILLIS = 1_000;
 
     private final HostId self;
     private final UpstreamGate gate;
@@ -50,6 +52,7 @@
     private double retryRatio;
     private double retryReserve;
     private Set<HostId> unreachableHosts = Set.of();
+    private Set<ServiceId> emptiedServices = Set.of();
     private final Set<String> routesMakingCalls = new HashSet<>();
     private final Set<InFlightRequest> inFlight = new HashSet<>();
 
@@ -90,6 +93,11 @@
         List.copyOf(inFlight).forEach(request -> request.retryIfWaitingFor(hosts));
     }
 
+    /** Sets the services whose upstreams are all in evacuated zones. */
+    void emptiedServices(Set<ServiceId> services) {
+        emptiedServices = services;
+    }
+
     /**
      * A request to be sent to an upstream of a service.
      *
@@ -165,7 +173,9 @@
             if (selected.isEmpty()) {
                 gate.markUnderPressure();
                 complete(Refusals.refusal(
-                        ErrorKind.NO_UPSTREAM, retryAfterMillis, "no upstream of " + request.service() + " is left"));
+                        ErrorKind.NO_UPSTREAM,
+                        emptiedServices.contains(request.service()) ? EVACUATED_RETRY_AFTER_MILLIS : retryAfterMillis,
+                        "no upstream of " + request.service() + " is left"));
                 return;
             }
             Candidate candidate = selected.get();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
@@ -37,6 +37,7 @@
     private final ZoneId zone;
     private final PeerLinks peers;
     private final ConfigState knowledge;
+    private final EvacuationState evacuations;
     private final Directory directory;
     private final ZoneCollector collector;
     private final ConfigFetch configs;
@@ -79,6 +80,7 @@
             ZoneId zone,
             PeerLinks peers,
             ConfigState knowledge,
+            EvacuationState evacuations,
             Directory directory,
             ZoneCollector collector,
             ConfigFetch configs,
@@ -89,6 +91,7 @@
         this.zone = zone;
         this.peers = peers;
         this.knowledge = knowledge;
+        this.evacuations = evacuations;
         this.directory = directory;
         this.collector = collector;
         this.configs = configs;
@@ -139,13 +142,14 @@
 
     private void reportLoad(long now) {
         HostId collectorHost = collector(now);
-        StatusReport report = StatusReport.newBuilder()
+        StatusReport.Builder builder = StatusReport.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis())
                 .setUpstream(LoadMessages.toMessage(loadSource.nextLoad()))
                 .setDirectorySource(directorySource)
-                .setDirectoryVersion(directoryVersion)
-                .build();
+                .setDirectoryVersion(directoryVersion);
+        evacuations.message().ifPresent(builder::setEvacuation);
+        StatusReport report = builder.build();
         if (collectorHost.equals(self)) {
             applyAnswer(collector.receiveReport(self, report));
         } else {
@@ -155,6 +159,7 @@
 
     private void send(Member member, StatusReport report) {
         ConfigState.Timestamp sent = knowledge.now();
+        long sentMillis = evacuations.now();
         awaitingAnswer = true;
         configs.completeOnControlThread(
                 peers.sendReport(member.peerAddress(), report, ANSWER_TIMEOUT_MILLIS), (answer, error) -> {
@@ -167,6 +172,9 @@
                     backoffUntil.remove(member.host());
                     configs.confirmOrFetch(
                             member.peerAddress(), answer.getConfigVersion(), sent.minus(answer.getConfigAgeMillis()));
+                    if (answer.hasEvacuation()) {
+                        evacuations.receive(answer.getEvacuation(), sentMillis);
+                    }
                     applyAnswer(answer);
                     if (answer.getDirectorySource() != 0) {
                         applyDirectory(answer);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Platform.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Platform.java
@@ -24,6 +24,12 @@
     /** Returns the key under which operators store the configuration. */
     String configKey();
 
+    /** Returns the prefix of all keys under which operators write, the configuration and the evacuations among them. */
+    String operatorPrefix();
+
+    /** Returns the prefix of the keys under which operators order the evacuation of a zone; the name of the zone follows. */
+    String evacuationPrefix();
+
     /**
      * Parses a configuration document from the store.
      *
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -38,6 +38,7 @@
     private final StoreNotes notes;
     private final Platform platform;
     private final ConfigState configState;
+    private final EvacuationState evacuations;
     private final Directory directory;
     private final Clock clock;
     private final RandomGenerator random;
@@ -45,6 +46,9 @@
     private boolean configReadInFlight;
     private boolean watching;
     private boolean collecting;
+    /** Whether the evacuations have changed since the last read that was sent. */
+    private boolean evacuationsChanged;
+
     /** Incremented when watching starts or stops; responses to requests of an earlier generation are ignored. */
     private long generation;
 
@@ -64,6 +68,7 @@
             StoreNotes notes,
             Platform platform,
             ConfigState configState,
+            EvacuationState evacuations,
             Directory directory,
             Clock clock,
             RandomGenerator random,
@@ -73,6 +78,7 @@
         this.notes = notes;
         this.platform = platform;
         this.configState = configState;
+        this.evacuations = evacuations;
         this.directory = directory;
         this.clock = clock;
         this.random = random;
@@ -162,8 +168,14 @@
                 directoryChanges.add(change);
             } else if (change.key().equals(platform.configKey())) {
                 change.item().ifPresent(item -> applyConfig(item.value(), asOf));
+            } else if (evacuations.isActive() && change.key().startsWith(platform.evacuationPrefix())) {
+                evacuationsChanged = true;
             }
         }
+        if (evacuationsChanged) {
+            // A watch does not tell when its changes were the newest state; a read that is sent now does.
+            refreshConfig();
+        }
         if (!directoryChanges.isEmpty()) {
             directory.applyStoreChanges(directoryChanges, clock.millis());
             listener.onDirectoryChanged();
@@ -173,7 +185,8 @@
     private void refreshIfStale() {
         long maxAgeMillis = (collecting ? COLLECTOR_MAX_CONFIG_AGE_MILLIS : MAX_CONFIG_AGE_MILLIS)
                 + random.nextLong(REFRESH_JITTER_MILLIS);
-        if (!configReadInFlight && configState.ageMillis() >= maxAgeMillis) {
+        long ageMillis = Math.max(configState.ageMillis(), evacuations.ageMillis());
+        if (!configReadInFlight && ageMillis >= maxAgeMillis) {
             readConfig();
         }
     }
@@ -189,6 +202,10 @@
     private void readConfig() {
         configReadInFlight = true;
         ConfigState.Timestamp sent = configState.now();
+        if (evacuations.isActive()) {
+            readOperatorItems(sent);
+            return;
+        }
         store.read(platform.configKey()).whenComplete((item, error) -> {
             configReadInFlight = false;
             notes.recordCall("read", error);
@@ -199,6 +216,42 @@
         });
     }
 
+    /** Reads the configuration and the evacuations with one call. */
+    private void readOperatorItems(ConfigState.Timestamp sent) {
+        long sentMillis = evacuations.now();
+        boolean afterChange = evacuationsChanged;
+        evacuationsChanged = false;
+        store.list(platform.operatorPrefix()).whenComplete((listing, error) -> {
+            configReadInFlight = false;
+            notes.recordCall("list", error);
+            if (error != null) {
+                if (afterChange) {
+                    evacuationsChanged = true;
+                    retryLater(this::refreshConfig);
+                }
+                return;
+            }
+            Repeated.runAndLogErrors(() -> applyOperatorItems(listing.items(), sent, sentMillis));
+        });
+    }
+
+    private void applyOperatorItems(List<KeyValueStore.Item> items, ConfigState.Timestamp sent, long sentMillis) {
+        List<String> evacuated = new ArrayList<>();
+        boolean configRead = false;
+        for (KeyValueStore.Item item : items) {
+            if (item.key().startsWith(platform.evacuationPrefix())) {
+                evacuated.add(item.key().substring(platform.evacuationPrefix().length()));
+            } else if (item.key().equals(platform.configKey())) {
+                applyConfig(item.value(), sent);
+                configRead = true;
+            }
+        }
+        evacuations.update(evacuated, sentMillis);
+        if (configRead) {
+            listener.onConfigRead();
+        }
+    }
+
     /** Applies a configuration document, from the store or from a peer, that was the newest one at the given time. */
     void applyConfig(byte[] document, ConfigState.Timestamp asOf) {
         try {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
@@ -68,6 +68,30 @@
         return coldStart.isPublishedCold();
     }
 
+    /** Makes the gate refuse all calls for the given reason. */
+    void closeGate(String reason) {
+        trafficLoop.execute(() -> gate.close(reason));
+    }
+
+    /**
+     * Makes the gate accept calls again.
+     *
+     * @param afterEvacuation whether the zone was evacuated meanwhile, so that the upstream may be cold
+     */
+    void openGate(boolean afterEvacuation) {
+        trafficLoop.execute(() -> {
+            if (afterEvacuation) {
+                coldStart.suspect("the evacuation of its zone was revoked");
+            }
+            gate.open();
+        });
+    }
+
+    /** Sets the services whose upstreams are all in evacuated zones. */
+    void setEmptiedServices(Set<ServiceId> services) {
+        trafficLoop.execute(() -> dispatcher.emptiedServices(services));
+    }
+
     void setCandidates(List<Candidate> candidates) {
         placer.updateCandidates(candidates);
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
@@ -64,6 +64,8 @@
 
     private long connectBackoffUntilMillis = Long.MIN_VALUE;
     private boolean stopping;
+    /** Why no call may reach the upstream at present; null if calls may reach it. */
+    private String closedReason;
 
     /** A queued or running call. */
     private static final class PendingCall {
@@ -140,6 +142,17 @@
         guard.configure(upstream.slots(), organisationWeights);
     }
 
+    /** Refuses the queued and all further calls for the given reason, until the gate is opened. Running calls continue. */
+    void close(String reason) {
+        closedReason = reason;
+        refuseQueued();
+    }
+
+    /** Accepts calls again. */
+    void open() {
+        closedReason = null;
+    }
+
     /** Refuses the queued and all further calls. Running calls continue. */
     void stop() {
         stopping = true;
@@ -153,7 +166,8 @@
 
     /** Ends the current interval of the load meter and returns the load. */
     NodeLoad sampleLoad() {
-        int slots = stopping || !upstream.serving() ? 0 : coldStart.reduceSlots(upstream.slots());
+        int slots =
+                stopping || closedReason != null || !upstream.serving() ? 0 : coldStart.reduceSlots(upstream.slots());
         return loadMeter.sample(slots, loadReport().queueDelayMillis());
     }
 
@@ -221,7 +235,9 @@
         if (upstream.state() == LocalUpstream.State.GONE || now < connectBackoffUntilMillis) {
             return Refusals.refusal(ErrorKind.NO_UPSTREAM, "no upstream is announced or it accepts no connection");
         }
-        return coldStart.refusalForOffer(unsentCalls());
+        return closedReason != null
+                ? Refusals.refusal(ErrorKind.NO_UPSTREAM, closedReason)
+                : coldStart.refusalForOffer(unsentCalls());
     }
 
     private int unsentCalls() {
@@ -294,7 +310,9 @@
     }
 
     private CallAnswer refusalForSend(PendingCall pending) {
-        CallAnswer refusal = coldStart.refusalForSend();
+        CallAnswer refusal = closedReason != null
+                ? Refusals.refusal(ErrorKind.NO_UPSTREAM, closedReason)
+                : coldStart.refusalForSend();
         if (refusal == null) {
             pending.sent = true;
             sentCalls++;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
@@ -45,6 +45,7 @@
     private final long directorySource;
     private final PeerLinks peers;
     private final ConfigState knowledge;
+    private final EvacuationState evacuations;
     private final Directory directory;
     private final ConfigFetch configs;
     private final Clock clock;
@@ -62,6 +63,7 @@
             Incarnation incarnation,
             PeerLinks peers,
             ConfigState knowledge,
+            EvacuationState evacuations,
             Directory directory,
             ConfigFetch configs,
             Clock clock) {
@@ -70,6 +72,7 @@
         this.directorySource = Directory.versionSource(self, incarnation);
         this.peers = peers;
         this.knowledge = knowledge;
+        this.evacuations = evacuations;
         this.directory = directory;
         this.configs = configs;
         this.clock = clock;
@@ -99,12 +102,16 @@
         if (member != null) {
             configs.fetchIfNewer(member.peerAddress(), report.getConfigVersion());
         }
+        if (report.hasEvacuation() && !from.equals(self)) {
+            evacuations.receiveReport(report.getEvacuation());
+        }
         updatePlanIfDue(now);
         StatusAnswer.Builder answer = StatusAnswer.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis())
                 .addAllAdmitted(admittedParts)
                 .addAllSilentHosts(silentHosts);
+        evacuations.message().ifPresent(answer::setEvacuation);
         if (watchingStore && directory.complete() && !from.equals(self)) {
             long knownVersion = report.getDirectorySource() == directorySource ? report.getDirectoryVersion() : 0;
             addDirectory(answer, directory.changesSince(knownVersion));
@@ -152,10 +159,14 @@
         if (member != null) {
             configs.fetchIfNewer(member.peerAddress(), report.getConfigVersion());
         }
-        return ZoneAnswer.newBuilder()
+        if (report.hasEvacuation()) {
+            evacuations.receiveReport(report.getEvacuation());
+        }
+        ZoneAnswer.Builder answer = ZoneAnswer.newBuilder()
                 .setConfigVersion(knowledge.version())
-                .setConfigAgeMillis((int) knowledge.ageMillis())
-                .build();
+                .setConfigAgeMillis((int) knowledge.ageMillis());
+        evacuations.message().ifPresent(answer::setEvacuation);
+        return answer.build();
     }
 
     /** Parses host names; logs and leaves out invalid ones. */
@@ -184,6 +195,7 @@
         ZoneReport.Builder report = ZoneReport.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis());
+        evacuations.message().ifPresent(report::setEvacuation);
         loads.ownZoneSums(now).forEach(load -> report.addLoads(LoadMessages.toMessage(load)));
         loads.silentInOwnZone(others, now).forEach(host -> report.addSilentHosts(host.value()));
         directory.vanishedHosts().stream()
@@ -208,6 +220,7 @@
 
     private void send(Member member, ZoneReport report) {
         ConfigState.Timestamp sent = knowledge.now();
+        long sentMillis = evacuations.now();
         configs.completeOnControlThread(
                 peers.sendZoneReport(member.peerAddress(), report, ANSWER_TIMEOUT_MILLIS), (answer, error) -> {
                     if (error != null) {
@@ -216,6 +229,9 @@
                         return;
                     }
                     backoffUntil.remove(member.host());
+                    if (answer.hasEvacuation()) {
+                        evacuations.receive(answer.getEvacuation(), sentMillis);
+                    }
                     configs.confirmOrFetch(
                             member.peerAddress(), answer.getConfigVersion(), sent.minus(answer.getConfigAgeMillis()));
                 });
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -23,6 +23,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.trefoilledge.core.HostId;
@@ -43,19 +44,36 @@
     /** A joining node must be listed before keys are refused, also on a heavily loaded machine. */
     static final long REVOCATION_MILLIS = 5_000;
 
-    private static final String CONFIG_KEY = "config";
+    private static final String CONFIG_KEY = "operator/config";
+    private static final String EVACUATION_PREFIX = "operator/evacuated/";
     private static final int MIN_PORT = 12_000;
     private static final int FIRST_EPHEMERAL_PORT = 32_768;
 
     private final MemoryStore store = new MemoryStore();
     private final List<Host> hosts = new ArrayList<>();
     private final long stopMillis;
+    private OptionalLong evacuationMillis = OptionalLong.empty();
 
     /** @param stopMillis time that a sidecar has for a planned stop */
     TestFleet(long stopMillis) {
         this.stopMillis = stopMillis;
     }
 
+    /** Starts all further sidecars with the bound, so that they read the evacuations. */
+    TestFleet withEvacuation(long millis) {
+        evacuationMillis = OptionalLong.of(millis);
+        return this;
+    }
+
+    /** Orders the evacuation of a zone, as operators do. */
+    void evacuate(String zone) {
+        store.put(EVACUATION_PREFIX + zone, "{}".getBytes(StandardCharsets.UTF_8));
+    }
+
+    void revokeEvacuation(String zone) {
+        store.remove(EVACUATION_PREFIX + zone);
+    }
+
     MemoryStore store() {
         return store;
     }
@@ -70,7 +88,21 @@
 
     /** Starts a host with an upstream that answers in its own way. */
     Host start(String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
-        Host host = new Host(name, service, responder);
+        return startInZone("a", name, service, responder);
+    }
+
+    /** Starts a host in an availability zone, whose upstream answers each request with the name of the host. */
+    Host startInZone(String zone, String name, ServiceId service) throws IOException {
+        return startInZone(
+                zone,
+                name,
+                service,
+                (head, socket, out) -> UpstreamStub.write(out, UpstreamStub.response(requestId(head), name)));
+    }
+
+    /** Starts a host in an availability zone with an upstream that answers in its own way. */
+    Host startInZone(String zone, String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
+        Host host = new Host(new ZoneId(zone), name, service, responder);
         hosts.add(host);
         host.start();
         return host;
@@ -107,6 +139,16 @@
             return CONFIG_KEY;
         }
 
+        @Override
+        public String operatorPrefix() {
+            return "operator/";
+        }
+
+        @Override
+        public String evacuationPrefix() {
+            return EVACUATION_PREFIX;
+        }
+
         @Override
         public RoutingConfig readConfig(byte[] document) {
             List<String> parts = splitWords(document);
@@ -143,12 +185,12 @@
         /** Replaced at each start: in one process, connections of an ended sidecar can outlive it. */
         private HttpClient client;
 
-        private Host(String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
+        private Host(ZoneId zone, String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
             upstream = new UpstreamStub(responder);
             settings = new SidecarSettings(
                     new HostId(name),
-                    new ZoneId("a"),
-                    List.of(new ZoneId("a")),
+                    zone,
+                    List.of(zone),
                     service,
                     upstream.address(),
                     loopback(freePort()),
@@ -168,7 +210,7 @@
                             0.1,
                             20,
                             5_000,
-                            OptionalLong.empty(),
+                            evacuationMillis,
                             Optional.empty()),
                     List.of(),
                     Map.of());
@@ -225,14 +267,35 @@
         }
 
         HttpResponse<String> get(String path, String key) throws Exception {
-            HttpRequest request = HttpRequest.newBuilder(
+            return client.send(request(path, key), HttpResponse.BodyHandlers.ofString());
+        }
+
+        CompletableFuture<HttpResponse<String>> getAsync(String path, String key) {
+            return client.sendAsync(request(path, key), HttpResponse.BodyHandlers.ofString());
+        }
+
+        private HttpRequest request(String path, String key) {
+            return HttpRequest.newBuilder(
                             URI.create("http://127.0.0.1:" + settings.callers().getPort() + path))
                     .version(HttpClient.Version.HTTP_1_1)
                     .timeout(Duration.ofSeconds(5))
                     .header(TestHeaders.HEADERS.requestId(), "r" + System.nanoTime())
                     .header(TestHeaders.HEADERS.key(), key)
                     .build();
-            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        }
+
+        /** Sends requests until one is answered with the given body. */
+        void awaitBody(String path, String key, String body) throws Exception {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            String last = "";
+            while (System.nanoTime() < end) {
+                last = get(path, key).body();
+                if (last.equals(body)) {
+                    return;
+                }
+                Thread.sleep(50);
+            }
+            assertThat(last).isEqualTo(body);
         }
 
         void awaitStatus(String path, String key, int status) throws Exception {
