Cold upstreams: first calls until one is answered; no doubt about single idle connections

Cause: a first call that the gate of a cold upstream refused counted as its first call, so a node with idle warm upstreams sent it nothing more. An upstream that closes idle connections at will was limited each time. The first entry of an upstream could state a doubt of the gate that its announcement had just ended.

Change: an upstream stays untried until it has answered a call. An idle connection that closes is a reason for doubt only if no other one stays open, since a restart closes all. The entry disregards the gate for 0.5 s after an announcement. Tests: fleets with cold upstreams and with a revoked evacuation; the gate closes while calls are queued or wait for a connection; the store is read as before without a bound for evacuations.

--- a/core/src/main/java/org/trefoilledge/core/placement/Placer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Placer.java
@@ -159,7 +159,7 @@
         return isUntriedCold(second) || comparedLoad(second, now) < comparedLoad(first, now) ? second : first;
     }
 
-    /** Returns whether a cold upstream has not got a call from this node yet. Each new upstream gets some calls at once. */
+    /** Returns whether a cold upstream has not answered this node yet. Each new upstream gets some calls at once. */
     private static boolean isUntriedCold(Upstream upstream) {
         return upstream.candidate().cold() && !upstream.isTried();
     }
--- a/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
@@ -20,7 +20,7 @@
     private volatile ReceivedReport lastReport;
     private volatile long ejectedUntilMillis = Long.MIN_VALUE;
     private volatile FailureRate failureRate = new FailureRate(0, 0);
-    /** Whether a call was sent to this upstream. */
+    /** Whether the upstream has answered a call. */
     private volatile boolean tried;
 
     private int consecutiveFailures;
@@ -51,7 +51,6 @@
     }
 
     void recordStart() {
-        tried = true;
         inFlight.incrementAndGet();
     }
 
@@ -65,6 +64,7 @@
 
     /** Records the outcome of a call that the upstream completed. */
     synchronized void recordOutcome(boolean failed, long now) {
+        tried = true;
         FailureRate previous = failureRate;
         if (previous.value() == 0 && !failed) {
             return;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ColdEntry.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ColdEntry.java
@@ -8,11 +8,15 @@
  * as cold for longer. Passes the announcements to the gate. Used on the control thread.
  */
 final class ColdEntry {
+    /** Time after an announcement in which the gate may not have applied it yet. */
+    private static final long APPLY_MILLIS = 500;
+
     private final SidecarSettings settings;
     private final ConfigState configState;
     private final TrafficPlane traffic;
     private final Clock clock;
-    private long announcedUntilMillis = Long.MIN_VALUE;
+    private long announcedMillis = Long.MIN_VALUE / 2;
+    private long coldUntilMillis = Long.MIN_VALUE;
 
     /** @param clock clock that includes the time for which the host is suspended */
     ColdEntry(SidecarSettings settings, ConfigState configState, TrafficPlane traffic, Clock clock) {
@@ -28,12 +32,15 @@
             return;
         }
         traffic.announceCold(heartbeat);
-        announcedUntilMillis = clock.millis() + heartbeat.coldRemainingMillis().orElse(0);
+        announcedMillis = clock.millis();
+        coldUntilMillis = announcedMillis + heartbeat.coldRemainingMillis().orElse(0);
     }
 
     /** Returns whether other nodes should treat the upstream as cold. */
     boolean isCold() {
-        return isLimited() && (clock.millis() < announcedUntilMillis || traffic.isUpstreamCold());
+        long now = clock.millis();
+        boolean gateKnows = now - announcedMillis >= APPLY_MILLIS;
+        return isLimited() && (now < coldUntilMillis || (gateKnows && traffic.isUpstreamCold()));
     }
 
     private boolean isLimited() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -245,7 +245,7 @@
 
     private void publishUpstreamIfChanged() {
         LocalUpstream current = effectiveUpstream();
-        boolean cold = coldEntry.isCold();
+        boolean cold = current.serving() && coldEntry.isCold();
         if (current.equals(publishedUpstream) && cold == publishedCold) {
             return;
         }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -169,6 +169,12 @@
         context = added;
     }
 
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        pool.recordEstablished();
+        active.fireChannelActive();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext unused, HttpObject part) {
         if (broken) {
@@ -334,7 +340,7 @@
     private void recordLostUnlessClosing() {
         if (!closing) {
             closing = true;
-            pool.recordConnectionLost();
+            pool.recordConnectionLost(request == null);
         }
     }
 
@@ -369,6 +375,12 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
         LOG.debug("upstream: connection failed", cause);
+        if (cause instanceof IOException && request == null) {
+            // The event that follows tells whether this was the last connection.
+            broken = true;
+            context.close();
+            return;
+        }
         if (cause instanceof IOException) {
             recordLostUnlessClosing();
         }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
@@ -42,6 +42,7 @@
     private final DeferredActions unsent;
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
     private Consumer<String> onConnectionLost = reason -> {};
+    private int establishedConnections;
     private long connectionsOpened;
 
     UpstreamPool(
@@ -124,14 +125,29 @@
         idleConnections.addFirst(connection);
     }
 
+    /** Records that a connection was established. */
+    void recordEstablished() {
+        establishedConnections++;
+    }
+
     /** Removes a closed connection. */
     void remove(UpstreamConnection connection) {
+        establishedConnections--;
         idleConnections.remove(connection);
     }
 
-    /** Records that the upstream has closed a connection without having said so. */
-    void recordConnectionLost() {
-        onConnectionLost.accept("a connection broke");
+    /**
+     * Records that the upstream has closed a connection without having said so. Upstreams close idle connections at will,
+     * but one that restarts closes all of them.
+     *
+     * @param idle whether no request was in flight on the connection
+     */
+    void recordConnectionLost(boolean idle) {
+        if (!idle) {
+            onConnectionLost.accept("a connection broke");
+        } else if (establishedConnections == 0) {
+            onConnectionLost.accept("the last connection was closed");
+        }
     }
 
     HeaderNames headerNames() {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/EvacuationTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/EvacuationTest.java
@@ -73,6 +73,13 @@
         client.awaitBody("/tracking/1", "k1", "north-1");
     }
 
+    /** Guards against twice the calls to the store. */
+    @Test
+    void configurationAndEvacuationsAreReadWithOneCall() {
+        assertThat(fleet.store().listedPrefixes()).contains(TestFleet.OPERATOR_PREFIX);
+        assertThat(fleet.store().readKeys()).doesNotContain(TestFleet.CONFIG_KEY);
+    }
+
     /** Guards against running requests that are cut off, and against queued ones that run after the bound. */
     @Test
     void runningRequestsFinishWhileTheZoneIsEvacuated() throws Exception {
@@ -113,6 +120,7 @@
         north.announce(2, "ready");
         for (int i = 0; i < 40; i++) {
             client.get("/tracking/" + i, "k1");
+            north.get("/tracking/" + i, "k1");
             Thread.sleep(20);
         }
 
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -1,10 +1,13 @@
 package org.trefoilledge.sidecar;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -23,6 +26,8 @@
     private final Map<String, Long> leaseByKey = new HashMap<>();
     private long revision = 1;
     private long lastLeaseId;
+    private final Set<String> readKeys = new HashSet<>();
+    private final Set<String> listedPrefixes = new HashSet<>();
     private volatile boolean down;
 
     private record Watcher(String prefix, Executor executor, CompletableFuture<KeyValueStore.WatchResult> future) {}
@@ -44,6 +49,22 @@
         return revision;
     }
 
+    /** Returns the value of a key as text, empty if there is none. */
+    synchronized String text(String key) {
+        KeyValueStore.Item item = items.get(key);
+        return item == null ? "" : new String(item.value(), StandardCharsets.UTF_8);
+    }
+
+    /** Returns the keys that were read one by one. */
+    synchronized Set<String> readKeys() {
+        return Set.copyOf(readKeys);
+    }
+
+    /** Returns the prefixes that were listed. */
+    synchronized Set<String> listedPrefixes() {
+        return Set.copyOf(listedPrefixes);
+    }
+
     synchronized void remove(String key) {
         revision++;
         items.remove(key);
@@ -125,6 +146,7 @@
         public CompletableFuture<Optional<Item>> read(String key) {
             synchronized (MemoryStore.this) {
                 endExpiredLeases();
+                readKeys.add(key);
                 return respond(Optional.ofNullable(items.get(key)));
             }
         }
@@ -133,6 +155,7 @@
         public CompletableFuture<Listing> list(String prefix) {
             synchronized (MemoryStore.this) {
                 endExpiredLeases();
+                listedPrefixes.add(prefix);
                 return respond(new Listing(
                         items.values().stream()
                                 .filter(item -> item.key().startsWith(prefix))
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/SidecarFleetTest.java
@@ -37,6 +37,17 @@
         fleet.close();
     }
 
+    /** Guards against other calls to the store, or orders that are followed, where operators evacuate no zones. */
+    @Test
+    void evacuationsAreNotReadWithoutABound() throws Exception {
+        fleet.evacuate("a");
+        Thread.sleep(3_000);
+
+        assertThat(hosts.get(0).get("/tracking/1", "k1").body()).isEqualTo("host-2");
+        assertThat(fleet.store().readKeys()).contains(TestFleet.CONFIG_KEY);
+        assertThat(fleet.store().listedPrefixes()).containsExactly(Directory.PREFIX);
+    }
+
     @Test
     void requestIsForwardedToTheUpstreamOnAnotherHost() throws Exception {
         assertThat(hosts.get(0).get("/tracking/1", "k1").body()).isEqualTo("host-2");
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamGateTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamGateTest.java
@@ -105,6 +105,48 @@
         assertThat(upstream.requestHeads()).hasSize(1);
     }
 
+    @Test
+    void closedGateRefusesQueuedCallsAndLetsRunningOnesFinish() throws Exception {
+        announceServing(1);
+        offer("r1", "orders");
+        offer("r2", "orders");
+        awaitRequests(1);
+        runOnTrafficLoop(() -> gate.close("the zone is evacuated"));
+        offer("r3", "orders");
+
+        assertThat(answers).hasSize(2).allMatch(Refusals::isNotRun);
+        releaseResponses.countDown();
+        awaitAnswers(3);
+        assertThat(answers.get(2).getStatus()).isEqualTo(200);
+        assertThat(upstream.requestHeads()).hasSize(1);
+    }
+
+    /** Guards against calls that wait for a connection while the gate closes, and reach the upstream afterwards. */
+    @Test
+    void callThatWaitsForAConnectionIsNotSentWhenTheGateCloses() throws Exception {
+        announceServing(1);
+        runOnTrafficLoop(() -> {
+            gate.offer(call("r1", "orders", "route", 3_000), answers::add);
+            gate.close("the zone is evacuated");
+        });
+        awaitAnswers(1);
+
+        assertThat(Refusals.isNotRun(answers.get(0))).isTrue();
+        assertThat(upstream.requestHeads()).isEmpty();
+    }
+
+    @Test
+    void openedGateAcceptsCalls() throws Exception {
+        announceServing(1);
+        runOnTrafficLoop(() -> gate.close("the zone is evacuated"));
+        runOnTrafficLoop(gate::open);
+        releaseResponses.countDown();
+        offer("r1", "orders");
+        awaitAnswers(1);
+
+        assertThat(answers.get(0).getStatus()).isEqualTo(200);
+    }
+
     /** Guards against important calls with little time that are refused because a slower route shares the upstream. */
     @Test
     void callIsNotRefusedForTheServiceTimeOfAnotherRoute() throws Exception {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamStub.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamStub.java
@@ -49,6 +49,11 @@
         }
     }
 
+    /** Closes the oldest connection. */
+    void closeOldestConnection() throws IOException {
+        connections.get(0).close();
+    }
+
     static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.US_ASCII));
         out.flush();
