--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
@@ -42,7 +42,8 @@
     // The generated methods of a record are slow before JIT compilation.
     @Override
     public boolean equals(Object other) {
-        return other instanceof AdmissionPlan that && that.admittedFractions.equals(admittedFractions)
+        return other instanceof AdmissionPlan that
+                && that.admittedFractions.equals(admittedFractions)
                 && that.limitedByRetries.equals(limitedByRetries);
     }
 
--- a/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
@@ -28,6 +28,9 @@
     private volatile long ejectedUntilMillis = Long.MIN_VALUE;
     private volatile FailureRate failureRate = new FailureRate(0, 0);
     private volatile RelativeTime relativeTime = new RelativeTime(0, 0);
+    /** Whether the upstream has answered a call. */
+    private volatile boolean tried;
+
     private int consecutiveFailures;
     private int consecutiveEjections;
 
@@ -62,6 +65,10 @@
         return candidate;
     }
 
+    boolean isTried() {
+        return tried;
+    }
+
     void recordStart() {
         inFlight.incrementAndGet();
     }
@@ -76,6 +83,7 @@
 
     /** Records the outcome of a call that the upstream completed. */
     synchronized void recordOutcome(boolean failed, long now) {
+        tried = true;
         FailureRate previous = failureRate;
         if (previous.value() == 0 && !failed) {
             return;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ConfigFetch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ConfigFetch.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.wire.generated.ConfigDocument;
@@ -19,6 +20,7 @@
     private final PeerLinks peers;
     private final ConfigState configState;
     private final Receiver receiver;
+    private final LongConsumer onPeerVersion;
     private boolean fetchInFlight;
 
     /** Receives a configuration document that was the newest one at the given time. */
@@ -27,11 +29,18 @@
         void receive(byte[] document, ConfigState.Timestamp asOf);
     }
 
-    ConfigFetch(Executor control, PeerLinks peers, ConfigState configState, Receiver receiver) {
+    /** @param onPeerVersion receives each version that a peer states, 0 if the peer has no configuration */
+    ConfigFetch(
+            Executor control,
+            PeerLinks peers,
+            ConfigState configState,
+            Receiver receiver,
+            LongConsumer onPeerVersion) {
         this.control = control;
         this.peers = peers;
         this.configState = configState;
         this.receiver = receiver;
+        this.onPeerVersion = onPeerVersion;
     }
 
     /** Handles a peer's report that the given version was the newest one at the given time. */
@@ -48,6 +57,7 @@
      * @return whether the peer's version is newer
      */
     boolean fetchIfNewer(String address, long version) {
+        onPeerVersion.accept(version);
         if (version <= configState.version()) {
             return false;
         }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -58,7 +58,11 @@
     private final NodeReports reports;
     private final UpstreamWatch upstreamWatch;
     private final DepartureStore departures;
+    private final ColdEntry coldEntry;
+    private final EvacuationState evacuations;
     private LocalUpstream publishedUpstream;
+    private boolean publishedCold;
+    private boolean ownZoneEvacuated;
     private Map<RateClaim, TokenSource.Holder> publishedHolders = Map.of();
     private Set<HostId> publishedSilentHosts = Set.of();
     private long followingSinceMillis;
@@ -86,6 +90,10 @@
         this.treeAdmission =
                 settings.enabledFeatures(platform.features(settings.terms())).contains(Feature.TREE_ADMISSION);
         StoreNotes notes = new StoreNotes(metrics);
+        evacuations = new EvacuationState(settings.bounds().evacuationMillis().isPresent(), leaseClock);
+        if (evacuations.isActive()) {
+            startFollowingEvacuations(metrics);
+        }
         registration = new Registration(control, store, notes, leaseClock, random, this::reloadDepartures);
         ClaimPlanner plan = new ClaimPlanner(settings.host(), incarnation, settings.zone(), settings.zones());
         claims = new RateClaims(
@@ -98,24 +106,28 @@
                 leaseClock,
                 new ClaimEffects());
         directory = new Directory(settings.host(), settings.zone(), claims::applyChange);
+        StartupConfig startupConfig = new StartupConfig(settings.firstStart(), directory);
         follower = new StoreFollower(
                 control,
                 store,
                 notes,
                 platform,
                 configState,
+                evacuations,
                 directory,
-                new StartupConfig(settings.firstStart(), directory),
+                startupConfig,
                 clock,
                 random,
                 new StoreListener());
-        ConfigFetch configs = new ConfigFetch(control, peers, configState, follower::applyConfig);
+        ConfigFetch configs = new ConfigFetch(
+                control, peers, configState, follower::applyConfig, startupConfig::recordPeerVersion);
         collector = new ZoneCollector(
                 settings.host(),
                 settings.zone(),
                 incarnation,
                 peers,
                 configState,
+                evacuations,
                 directory,
                 configs,
                 clock,
@@ -125,6 +137,7 @@
                 settings.zone(),
                 peers,
                 configState,
+                evacuations,
                 directory,
                 collector,
                 configs,
@@ -133,6 +146,7 @@
                 new ReportEffects());
         upstreamWatch =
                 new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis(), System::currentTimeMillis);
+        coldEntry = new ColdEntry(settings, configState, traffic, leaseClock);
         departures = new DepartureStore(control, store, notes, settings.host(), random, this::restoreDepartures);
         publishedUpstream = LocalUpstream.none(settings.service());
         store.onRestore(() -> onRestore(notes, store.epoch()));
@@ -151,6 +165,7 @@
         notes.recordRestore(epoch);
         List<Runnable> owners = List.of(
                 directory::onRestore,
+                evacuations::onRestore,
                 claims::onRestore,
                 registration::onRestore,
                 departures::onRestore,
@@ -159,9 +174,21 @@
         owners.forEach(Repeated::runAndLogErrors);
     }
 
-    /** Returns whether the directory of nodes is complete. */
+    private void startFollowingEvacuations(SidecarMetrics metrics) {
+        traffic.closeGate("it is not known yet whether the zone is evacuated");
+        evacuations.onChange(this::applyEvacuations);
+        metrics.registerGauge(
+                "trefoilledge.evacuation.age",
+                "Time since the read that returned the evacuated zones in milliseconds",
+                evacuations::ageMillis);
+        metrics.registerGauge("trefoilledge.evacuation.zones", "Number of evacuated zones", () -> evacuations
+                .zones()
+                .size());
+    }
+
+    /** Returns whether the directory of nodes is complete and the evacuated zones are known. */
     boolean ready() {
-        return directory.complete();
+        return directory.complete() && evacuations.isKnown();
     }
 
     /**
@@ -170,6 +197,7 @@
      */
     CompletableFuture<Boolean> applyAnnouncement(Announcement announcement) {
         boolean valid = upstreamWatch.applyAnnouncement(announcement, clock.millis());
+        upstreamWatch.takeNewest().ifPresent(coldEntry::announce);
         publishUpstreamIfChanged();
         return valid && announcement.announcesEnd()
                 ? departures.save(upstreamWatch.departed()).thenApply(saved -> true)
@@ -252,15 +280,30 @@
 
     private void publishUpstreamIfChanged() {
         LocalUpstream current = effectiveUpstream();
-        if (current.equals(publishedUpstream)) {
+        boolean cold = current.serving() && coldEntry.isCold();
+        if (current.equals(publishedUpstream) && cold == publishedCold) {
             return;
         }
-        publishedUpstream = current;
-        traffic.setUpstream(current);
+        if (!current.equals(publishedUpstream)) {
+            publishedUpstream = current;
+            traffic.setUpstream(current);
+        }
+        publishedCold = cold;
         registration.update(selfEntry());
         publishCandidates();
     }
 
+    private void applyEvacuations() {
+        boolean evacuated = evacuations.includes(settings.zone());
+        if (evacuated) {
+            traffic.closeGate("the zone is evacuated");
+        } else {
+            traffic.openGate(ownZoneEvacuated);
+        }
+        ownZoneEvacuated = evacuated;
+        publishCandidates();
+    }
+
     private Member selfEntry() {
         LocalUpstream upstream = effectiveUpstream();
         return new Member(
@@ -271,7 +314,8 @@
                 settings.service(),
                 upstream.id(),
                 upstream.slots(),
-                upstream.serving() && !stopping);
+                upstream.serving() && !stopping,
+                publishedCold);
     }
 
     private void publishMembers() {
@@ -301,7 +345,11 @@
         if (self.serving()) {
             candidates.add(self.toCandidate());
         }
-        traffic.setCandidates(candidates);
+        EvacuationPlan plan = EvacuationPlan.of(candidates, evacuations.zones());
+        traffic.setCandidates(plan.candidates());
+        if (evacuations.isActive()) {
+            traffic.setEmptiedServices(plan.emptiedServices());
+        }
     }
 
     /** Publishes the holders of the claims, with their addresses, to the traffic thread. */
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -35,6 +35,9 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // channel events and timers report failures
 final class Dispatcher {
+    /** Retry-After of requests to a service whose upstreams are all in evacuated zones; evacuations last for longer. */
+    private static final long EVACUATED_RETRY_AFTER_MILLIS = 1_000;
+
     private final HostId self;
     private final UpstreamGate gate;
     private final PeerLinks peers;
@@ -49,6 +52,7 @@
     private double retryRatio;
     private double retryReserve;
     private Set<HostId> unreachableHosts = Set.of();
+    private Set<ServiceId> emptiedServices = Set.of();
     private final Set<String> routesMakingCalls = new HashSet<>();
     private final Set<InFlightRequest> inFlight = new HashSet<>();
 
@@ -91,6 +95,11 @@
         List.copyOf(inFlight).forEach(request -> request.retryIfWaitingFor(hosts));
     }
 
+    /** Sets the services whose upstreams are all in evacuated zones. */
+    void emptiedServices(Set<ServiceId> services) {
+        emptiedServices = services;
+    }
+
     /**
      * A request to be sent to an upstream of a service.
      *
@@ -143,6 +152,9 @@
         private final Set<HostId> triedHosts = new HashSet<>();
         private final ScheduledFuture<?> deadlineTimer;
         private final AttemptPolicy policy;
+        /** Longest time until the rate of a cold upstream that has refused the request allows more, 0 without one. */
+        private long retryAfterMillis;
+
         private boolean done;
         private int attemptNumber;
         private HostId attemptHost;
@@ -162,7 +174,10 @@
             Optional<Candidate> selected = selectCandidate(request.service(), triedHosts, now);
             if (selected.isEmpty()) {
                 gate.markUnderPressure();
-                complete(Refusals.refusal(ErrorKind.NO_UPSTREAM, "no upstream of " + request.service() + " is left"));
+                complete(Refusals.refusal(
+                        ErrorKind.NO_UPSTREAM,
+                        emptiedServices.contains(request.service()) ? EVACUATED_RETRY_AFTER_MILLIS : retryAfterMillis,
+                        "no upstream of " + request.service() + " is left"));
                 return;
             }
             Candidate candidate = selected.get();
@@ -249,6 +264,9 @@
 
         private void retryOrComplete(CallAnswer outcome, long now) {
             triedHosts.add(attemptHost);
+            if (ColdStartControl.isRefusal(outcome)) {
+                retryAfterMillis = Math.max(retryAfterMillis, outcome.getRetryAfterMillis());
+            }
             switch (policy.next(toAttemptOutcome(outcome), now)) {
                 case RETRY -> {
                     backOffHost(outcome, now);
@@ -273,7 +291,8 @@
                     refusal,
                     notRun,
                     !notRun || outcome.getReachedUpstream(),
-                    Refusals.isRefusal(outcome, ErrorKind.OVERLOADED),
+                    // A cold upstream says nothing about the load of the others.
+                    Refusals.isRefusal(outcome, ErrorKind.OVERLOADED) && !ColdStartControl.isRefusal(outcome),
                     Refusals.isRefusal(outcome, ErrorKind.DEADLINE_EXCEEDED) || outcome.getStatus() == 504,
                     outcome.getMakesCalls());
         }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -77,11 +77,20 @@
         boolean treeAdmission = features.contains(Feature.TREE_ADMISSION);
         boolean learnCapacity = features.contains(Feature.LEARNED_CAPACITY);
         LoadMeter loadMeter = new LoadMeter(settings.service(), clock, treeAdmission);
+        ColdStartControl coldStart = new ColdStartControl(
+                settings.bounds().coldRequests(),
+                settings.bounds().heartbeatMillis(),
+                leaseClock,
+                new HealthProbe(trafficGroup, settings.upstream(), headerNames));
+        if (settings.bounds().coldRequests().isPresent()) {
+            coldStart.registerMetrics(metrics);
+        }
         gate = new UpstreamGate(
                 trafficLoop,
                 upstreamPool,
                 LocalUpstream.none(settings.service()),
                 loadMeter,
+                coldStart,
                 clock,
                 learnCapacity);
         RateTolerance tolerance = rateTolerance(settings);
@@ -127,7 +136,15 @@
                 metrics,
                 peers,
                 new TrafficPlane(
-                        trafficLoop, gate, dispatcher, placer, tokenSource, limits, admission, settings.service()));
+                        trafficLoop,
+                        gate,
+                        dispatcher,
+                        placer,
+                        tokenSource,
+                        limits,
+                        admission,
+                        coldStart,
+                        settings.service()));
     }
 
     /**
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StartupConfig.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StartupConfig.java
@@ -25,6 +25,14 @@
         this.directory = directory;
     }
 
+    /**
+     * Records the version that another node has stated. If that node has no configuration either, as after a power loss
+     * of the whole fleet, there is no reason to wait for it.
+     */
+    void recordPeerVersion(long version) {
+        applied |= version == 0;
+    }
+
     /**
      * Returns whether a configuration from the store may be applied.
      *
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -60,6 +61,9 @@
     private boolean responseComplete;
     private boolean reused;
     private boolean broken;
+    /** Whether this end closes the connection, or the upstream has said that it will. */
+    private boolean closing;
+
     private long idleSinceMillis;
     /** Idle timeout that the upstream has announced in a Keep-Alive header. */
     private long keepAliveTimeoutMillis = Long.MAX_VALUE;
@@ -124,6 +128,7 @@
         skippedResponses = 0;
         context.writeAndFlush(toHttpRequest(newRequest)).addListener(written -> {
             if (!written.isSuccess()) {
+                recordLostUnlessClosing();
                 fail("cannot write: " + written.cause().getMessage());
             }
         });
@@ -143,6 +148,7 @@
     }
 
     void close() {
+        closing = true;
         context.close();
     }
 
@@ -176,6 +182,12 @@
         context = added;
     }
 
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        pool.recordEstablished();
+        active.fireChannelActive();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext unused, HttpObject part) {
         if (broken) {
@@ -284,7 +296,7 @@
             fail("no answer within " + MAX_BYTES_BEFORE_HEAD + " bytes");
         }
         if (broken) {
-            context.close();
+            close();
         }
         if (responseComplete) {
             completeRequest();
@@ -308,7 +320,7 @@
         if (reusable && context.channel().isActive()) {
             pool.release(this);
         } else {
-            context.close();
+            close();
         }
         callback.accept(answer);
     }
@@ -351,7 +363,15 @@
         return matcher.find() ? Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND : Long.MAX_VALUE;
     }
 
+    private void recordLostUnlessClosing() {
+        if (!closing) {
+            closing = true;
+            pool.recordConnectionLost(request == null);
+        }
+    }
+
     private void fail(String reason) {
+        closing = true;
         broken = true;
         responseComplete = false;
         discardBody();
@@ -368,6 +388,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext unused) {
         pool.remove(this);
+        if (!responseComplete) {
+            recordLostUnlessClosing();
+        }
         if (responseComplete && !broken) {
             completeRequest();
         } else {
@@ -378,6 +401,15 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
         LOG.debug("upstream: connection failed", cause);
+        if (cause instanceof IOException && request == null) {
+            // The event that follows tells whether this was the last connection.
+            broken = true;
+            context.close();
+            return;
+        }
+        if (cause instanceof IOException) {
+            recordLostUnlessClosing();
+        }
         fail(String.valueOf(cause.getMessage()));
     }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
@@ -52,6 +52,7 @@
     private final UpstreamPool pool;
     private final Clock clock;
     private final LoadMeter loadMeter;
+    private final ColdStartControl coldStart;
     private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
     private final Guard guard;
     /** Null if the limit is not learned. */
@@ -62,8 +63,13 @@
     private ScheduledFuture<?> tickTimer;
     private boolean queueTickScheduled;
     private long lastTicket;
+    /** Pending calls that were sent to the upstream. */
+    private int sentCalls;
+
     private long connectBackoffUntilMillis = Long.MIN_VALUE;
     private boolean stopping;
+    /** Why no call may reach the upstream at present; null if calls may reach it. */
+    private String closedReason;
 
     /** A queued or running call. */
     private static final class PendingCall {
@@ -76,6 +82,7 @@
         /** The running call; null while the call is queued. */
         private UpstreamPool.Execution execution;
 
+        private boolean sent;
         private boolean cancelled;
 
         PendingCall(Call call, long offeredMillis, Consumer<CallAnswer> onAnswer) {
@@ -91,8 +98,9 @@
         }
     }
 
+    /** Creates a gate that limits no cold upstream. */
     UpstreamGate(EventLoop trafficLoop, UpstreamPool pool, LocalUpstream upstream, LoadMeter loadMeter, Clock clock) {
-        this(trafficLoop, pool, upstream, loadMeter, clock, false);
+        this(trafficLoop, pool, upstream, loadMeter, ColdStartControl.disabled(clock), clock, false);
     }
 
     /**
@@ -105,12 +113,14 @@
             UpstreamPool pool,
             LocalUpstream upstream,
             LoadMeter loadMeter,
+            ColdStartControl coldStart,
             Clock clock,
             boolean learnCapacity) {
         this.trafficLoop = trafficLoop;
         this.pool = pool;
         this.upstream = upstream;
         this.loadMeter = loadMeter;
+        this.coldStart = coldStart;
         this.clock = clock;
         // All calls to the upstream pass this gate, so its slots are an exact limit and no adaptive limit is needed.
         GuardSettings guardSettings = GuardSettings.defaults(upstream.slots())
@@ -118,6 +128,7 @@
                         Mechanism.CONCURRENCY_LIMIT, Mechanism.IMPORTANCE, Mechanism.FAIRNESS, Mechanism.DEADLINES));
         this.guard = learnCapacity ? Guard.withLearnedCapacity(guardSettings) : new Guard(guardSettings);
         this.learnedLimit = learnCapacity ? new LearnedLimitLog() : null;
+        pool.onConnectionLost(coldStart::suspect);
     }
 
     /** Sets the state of the upstream. Refuses the queued calls if it is no longer serving. */
@@ -128,6 +139,7 @@
             guard.restartLearning();
         }
         upstream = current;
+        coldStart.upstreamId(current.id());
         guard.configure(upstream.slots(), organisationWeights);
         if (!upstream.serving()) {
             refuseQueued();
@@ -143,6 +155,17 @@
         guard.configure(upstream.slots(), organisationWeights);
     }
 
+    /** Refuses the queued and all further calls for the given reason, until the gate is opened. Running calls continue. */
+    void close(String reason) {
+        closedReason = reason;
+        refuseQueued();
+    }
+
+    /** Accepts calls again. */
+    void open() {
+        closedReason = null;
+    }
+
     /** Refuses the queued and all further calls. Running calls continue. */
     void stop() {
         stopping = true;
@@ -161,7 +184,7 @@
             learnedLimit.update(load.limit(), upstream.slots(), guard.relativeSpeed());
         }
         int usableSlots = learnedLimit != null ? load.limit() : upstream.slots();
-        int slots = stopping || !upstream.serving() ? 0 : usableSlots;
+        int slots = stopping || closedReason != null || !upstream.serving() ? 0 : coldStart.reduceSlots(usableSlots);
         return loadMeter.sample(slots, load.queueDelayMillis());
     }
 
@@ -234,7 +257,27 @@
         if (upstream.state() == LocalUpstream.State.GONE || now < connectBackoffUntilMillis) {
             return Refusals.refusal(ErrorKind.NO_UPSTREAM, "no upstream is announced or it accepts no connection");
         }
-        return null;
+        return closedReason != null
+                ? Refusals.refusal(ErrorKind.NO_UPSTREAM, closedReason)
+                : coldStart.refusalForOffer(unsentCalls());
+    }
+
+    private int unsentCalls() {
+        return pendingCalls.size() - sentCalls;
+    }
+
+    /** Refuses queued calls that a cold upstream cannot get soon. */
+    private void refuseQueuedAboveColdRate() {
+        for (Map.Entry<Long, PendingCall> entry : List.copyOf(pendingCalls.entrySet())) {
+            if (!coldStart.isLimiting() || guard.running() == pendingCalls.size()) {
+                return;
+            }
+            CallAnswer refusal = entry.getValue().isRunning() ? null : coldStart.refusalForOffer(unsentCalls() - 1);
+            if (refusal != null) {
+                guard.cancel(entry.getKey(), clock.millis());
+                complete(entry.getKey(), refusal);
+            }
+        }
     }
 
     private void refuseQueued() {
@@ -280,15 +323,30 @@
         pending.startedMillis = clock.millis();
         RouteId route = pending.route;
         loadMeter.started(route, pending.startedMillis - pending.offeredMillis);
-        var request = new UpstreamPool.UpstreamRequest(pending.call, upstream.id(), pending.deadlineMillis);
+        var request = new UpstreamPool.UpstreamRequest(
+                pending.call, upstream.id(), pending.deadlineMillis, () -> refusalForSend(pending));
         pending.execution = pool.execute(request, answer -> {
             loadMeter.ended(route, clock.millis() - pending.startedMillis);
             handleAnswer(ticket, pending, answer);
         });
     }
 
+    private CallAnswer refusalForSend(PendingCall pending) {
+        CallAnswer refusal = closedReason != null
+                ? Refusals.refusal(ErrorKind.NO_UPSTREAM, closedReason)
+                : coldStart.refusalForSend();
+        if (refusal == null) {
+            pending.sent = true;
+            sentCalls++;
+        }
+        return refusal;
+    }
+
     private void handleAnswer(long ticket, PendingCall pending, CallAnswer answer) {
         long now = clock.millis();
+        if (pending.sent) {
+            coldStart.recordExecution(now - pending.startedMillis);
+        }
         if (Refusals.isRefusal(answer, ErrorKind.NO_UPSTREAM)) {
             connectBackoffUntilMillis = now + CONNECT_BACKOFF_MILLIS;
         }
@@ -320,6 +378,7 @@
 
     private void complete(long ticket, CallAnswer answer) {
         PendingCall pending = pendingCalls.remove(ticket);
+        sentCalls -= pending != null && pending.sent ? 1 : 0;
         if (pending != null && !pending.cancelled) {
             boolean makesCalls = loadMeter.makesCalls(pending.route);
             int serviceTimeMillis = (int) Math.round(guard.serviceTimeMillis(pending.route, clock.millis()));
@@ -330,7 +389,7 @@
 
     /** Adds the load of this gate, by which other nodes choose among upstreams. */
     private CallAnswer withLoad(CallAnswer.Builder answer) {
-        LoadReport load = loadReport();
+        LoadReport load = coldStart.reduceLimit(loadReport());
         return answer.setInFlight(load.inFlight())
                 .setLimit(load.limit())
                 .setQueueDelayMillis((int) load.queueDelayMillis())
@@ -354,6 +413,7 @@
         tickTimer = null;
         long now = clock.millis();
         performActions(guard.tick(now));
+        refuseQueuedAboveColdRate();
         for (PendingCall pending : List.copyOf(pendingCalls.values())) {
             if (pending.isRunning() && now > pending.deadlineMillis + ABORT_DELAY_MILLIS) {
                 pending.execution.abort();
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -23,6 +23,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.trefoilledge.core.HostId;
@@ -34,6 +35,7 @@
 import org.trefoilledge.core.routing.HostRoute;
 import org.trefoilledge.core.routing.OrganisationPolicy;
 import org.trefoilledge.core.routing.RoutingConfig;
+import org.trefoilledge.core.routing.ServicePolicy;
 import org.trefoilledge.core.routing.TrafficSplit;
 
 /** Sidecars with stub upstreams on the loopback interface and one in-memory store. */
@@ -43,19 +45,44 @@
     /** A joining node must be listed before keys are refused, also on a heavily loaded machine. */
     static final long REVOCATION_MILLIS = 5_000;
 
-    private static final String CONFIG_KEY = "config";
+    static final String CONFIG_KEY = "operator/config";
+    static final String OPERATOR_PREFIX = "operator/";
+    private static final String EVACUATION_PREFIX = "operator/evacuated/";
     private static final int MIN_PORT = 12_000;
     private static final int FIRST_EPHEMERAL_PORT = 32_768;
 
     private final MemoryStore store = new MemoryStore();
     private final List<Host> hosts = new ArrayList<>();
     private final long stopMillis;
+    private OptionalLong evacuationMillis = OptionalLong.empty();
+    private Optional<SidecarSettings.ColdRequests> coldRequests = Optional.empty();
 
     /** @param stopMillis time that a sidecar has for a planned stop */
     TestFleet(long stopMillis) {
         this.stopMillis = stopMillis;
     }
 
+    /** Starts all further sidecars with the bound, so that they read the evacuations. */
+    TestFleet withEvacuation(long millis) {
+        evacuationMillis = OptionalLong.of(millis);
+        return this;
+    }
+
+    /** Starts all further sidecars with the bound, so that they limit cold upstreams. */
+    TestFleet withColdRequests(double over, double slack) {
+        coldRequests = Optional.of(new SidecarSettings.ColdRequests(over, slack));
+        return this;
+    }
+
+    /** Orders the evacuation of a zone, as operators do. */
+    void evacuate(String zone) {
+        store.put(EVACUATION_PREFIX + zone, "{}".getBytes(StandardCharsets.UTF_8));
+    }
+
+    void revokeEvacuation(String zone) {
+        store.remove(EVACUATION_PREFIX + zone);
+    }
+
     MemoryStore store() {
         return store;
     }
@@ -70,7 +97,21 @@
 
     /** Starts a host with an upstream that answers in its own way. */
     Host start(String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
-        Host host = new Host(name, service, responder);
+        return startInZone("a", name, service, responder);
+    }
+
+    /** Starts a host in an availability zone, whose upstream answers each request with the name of the host. */
+    Host startInZone(String zone, String name, ServiceId service) throws IOException {
+        return startInZone(
+                zone,
+                name,
+                service,
+                (head, socket, out) -> UpstreamStub.write(out, UpstreamStub.response(requestId(head), name)));
+    }
+
+    /** Starts a host in an availability zone with an upstream that answers in its own way. */
+    Host startInZone(String zone, String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
+        Host host = new Host(new ZoneId(zone), name, service, responder);
         hosts.add(host);
         host.start();
         return host;
@@ -85,7 +126,10 @@
         return head.replaceAll("(?s).*X-Request: ([^\n]*)\n.*", "$1");
     }
 
-    /** Configurations have the format "version key", announcements "id service slots sequence state start". */
+    /**
+     * Configurations have the format "version key" or "version key cold-per-second", announcements "id service slots
+     * sequence state start cold-millis".
+     */
     private final class TestPlatform implements Platform {
         @Override
         public HeaderNames headers() {
@@ -107,6 +151,16 @@
             return CONFIG_KEY;
         }
 
+        @Override
+        public String operatorPrefix() {
+            return OPERATOR_PREFIX;
+        }
+
+        @Override
+        public String evacuationPrefix() {
+            return EVACUATION_PREFIX;
+        }
+
         @Override
         public RoutingConfig readConfig(byte[] document) {
             List<String> parts = splitWords(document);
@@ -116,7 +170,10 @@
                     Long.parseLong(parts.get(0)),
                     CallerLimits.DEFAULT,
                     List.of(route("orders", ORDERS), route("tracking", TRACKING)),
-                    List.of(bakery));
+                    List.of(bakery),
+                    parts.size() < 3
+                            ? List.of()
+                            : List.of(new ServicePolicy(TRACKING, 5_000, Double.parseDouble(parts.get(2)), "")));
         }
 
         @Override
@@ -131,7 +188,8 @@
                     Integer.parseInt(parts.get(2)),
                     parts.get(4).equals("draining"),
                     Long.parseLong(parts.get(3)),
-                    Long.parseLong(parts.get(5)));
+                    Long.parseLong(parts.get(5)),
+                    OptionalLong.of(Long.parseLong(parts.get(6))));
         }
     }
 
@@ -143,12 +201,12 @@
         /** Replaced at each start: in one process, connections of an ended sidecar can outlive it. */
         private HttpClient client;
 
-        private Host(String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
+        private Host(ZoneId zone, String name, ServiceId service, UpstreamStub.Responder responder) throws IOException {
             upstream = new UpstreamStub(responder);
             settings = new SidecarSettings(
                     new HostId(name),
-                    new ZoneId("a"),
-                    List.of(new ZoneId("a")),
+                    zone,
+                    List.of(zone),
                     service,
                     upstream.address(),
                     loopback(freePort()),
@@ -168,8 +226,8 @@
                             0.1,
                             20,
                             5_000,
-                            OptionalLong.empty(),
-                            Optional.empty()),
+                            evacuationMillis,
+                            coldRequests),
                     List.of(),
                     Map.of());
         }
@@ -205,7 +263,13 @@
 
         /** Announces a run of the upstream; returns the status of the response. */
         int announce(String id, long sequence, String state, long startedMillis) throws Exception {
-            String body = id + " " + settings.service() + " 10 " + sequence + " " + state + " " + startedMillis;
+            return announce(id, sequence, state, startedMillis, 0);
+        }
+
+        /** Announces a run of the upstream that is still cold for the given time. */
+        int announce(String id, long sequence, String state, long startedMillis, long coldMillis) throws Exception {
+            String body = id + " " + settings.service() + " 10 " + sequence + " " + state + " " + startedMillis + " "
+                    + coldMillis;
             return send("PUT", id, body);
         }
 
@@ -225,14 +289,35 @@
         }
 
         HttpResponse<String> get(String path, String key) throws Exception {
-            HttpRequest request = HttpRequest.newBuilder(
+            return client.send(request(path, key), HttpResponse.BodyHandlers.ofString());
+        }
+
+        CompletableFuture<HttpResponse<String>> getAsync(String path, String key) {
+            return client.sendAsync(request(path, key), HttpResponse.BodyHandlers.ofString());
+        }
+
+        private HttpRequest request(String path, String key) {
+            return HttpRequest.newBuilder(
                             URI.create("http://127.0.0.1:" + settings.callers().getPort() + path))
                     .version(HttpClient.Version.HTTP_1_1)
                     .timeout(Duration.ofSeconds(5))
                     .header(TestHeaders.HEADERS.requestId(), "r" + System.nanoTime())
                     .header(TestHeaders.HEADERS.key(), key)
                     .build();
-            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        }
+
+        /** Sends requests until one is answered with the given body. */
+        void awaitBody(String path, String key, String body) throws Exception {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            String last = "";
+            while (System.nanoTime() < end) {
+                last = get(path, key).body();
+                if (last.equals(body)) {
+                    return;
+                }
+                Thread.sleep(50);
+            }
+            assertThat(last).isEqualTo(body);
         }
 
         void awaitStatus(String path, String key, int status) throws Exception {
