Explain where a request would go now, and why

An operator who asks why a request goes to a given upstream, or is refused, can only read decision lines of requests that were sent, and these are sampled and carry no figures of the upstreams passed over.

The answer is evaluated on the traffic thread from the objects that decide: the request filters, the admission gate, the rate limit and the placer, each through a method that only reads. PlacementExplainer (core, pure) derives which upstreams the placer may choose and why it passes over the others. Other paths of the address serve the metrics as before.

The whole suite was not run.

--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionGate.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionGate.java
@@ -16,6 +16,22 @@
         plan = newPlan;
     }
 
+    /**
+     * What the plan means for a class.
+     *
+     * @param fraction fraction of the class that is admitted, from 0 to 1
+     * @param nextAdmitted whether the next request of the class is admitted
+     * @param limitedByRetries whether the class is limited because the retries of its call trees are scarce
+     */
+    public record Preview(double fraction, boolean nextAdmitted, boolean limitedByRetries) {}
+
+    /** Returns what the plan means for the next request of the class, without counting it. */
+    public Preview preview(RequestClass requestClass) {
+        double fraction = plan.admittedFraction(requestClass);
+        boolean next = fraction >= 1 || accumulatedFractions.getOrDefault(requestClass, 0.0) + fraction >= 1;
+        return new Preview(fraction, next, plan.isLimitedByRetries(requestClass));
+    }
+
     /** Returns whether the next request of the class is admitted. */
     public boolean admit(RequestClass requestClass) {
         double fraction = plan.admittedFraction(requestClass);
--- a/core/src/main/java/org/trefoilledge/core/overload/HostBackoff.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/HostBackoff.java
@@ -23,6 +23,11 @@
         untilMillis.put(host, now + BACKOFF_MILLIS);
     }
 
+    /** Returns whether a host is avoided at the given time. Changes nothing. */
+    public boolean isActive(HostId host, long now) {
+        return now < untilMillis.getOrDefault(host, now);
+    }
+
     /** Returns the hosts that are avoided at the given time. The set must not be kept. */
     public Set<HostId> active(long now) {
         if (!untilMillis.isEmpty()) {
--- a/core/src/main/java/org/trefoilledge/core/placement/Placer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Placer.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.RouteId;
@@ -23,22 +24,22 @@
  */
 public final class Placer {
     /** Estimated load up to which the upstream on the local host is preferred; no call waits for a slot there. */
-    private static final double MAX_LOCAL_HOST_LOAD = 0.5;
+    static final double MAX_LOCAL_HOST_LOAD = 0.5;
     /** Service time up to which it is preferred, relative to the mean of the service's upstreams. */
-    private static final double MAX_LOCAL_HOST_TIME = 1.1;
+    static final double MAX_LOCAL_HOST_TIME = 1.1;
     /**
      * Fraction of the calls for which the first of two random upstreams is chosen without regard to its speed, so that a
      * slow upstream gets a tenth of the calls of the others and is seen to recover.
      */
     private static final double EXPLORED_FRACTION = 0.15;
     /** Estimated load, failures included, up to which an upstream gets such calls. */
-    private static final double MAX_EXPLORED_LOAD = 0.5;
+    static final double MAX_EXPLORED_LOAD = 0.5;
     /** Time by which a call in another zone must be faster, in mean service times, beside the round trip there. */
-    private static final double MIN_TIME_GAIN = 0.1;
+    static final double MIN_TIME_GAIN = 0.1;
     /** Additional round-trip time to another zone. */
-    private static final double ZONE_ROUND_TRIP_MILLIS = 3;
+    static final double ZONE_ROUND_TRIP_MILLIS = 3;
     /** Load by which an upstream of another zone must be below the local one, so that zones do not swap their calls. */
-    private static final double MIN_LOAD_GAIN = 0.1;
+    static final double MIN_LOAD_GAIN = 0.1;
 
     private final HostId localHost;
     private final ZoneId localZone;
@@ -90,6 +91,28 @@
         return chosen == null ? Optional.empty() : Optional.of(chosen.candidate());
     }
 
+    /**
+     * Returns which upstreams of the service the next call may go to, and why the others are passed over. Changes nothing.
+     *
+     * @param silent whether the node on a host does not answer
+     * @param backedOff whether a host is avoided for a short time
+     */
+    public PlacementExplanation explain(
+            ServiceId service, Predicate<HostId> silent, Predicate<HostId> backedOff, long now) {
+        ServiceUpstreams candidates = services.get(service);
+        ServiceSpeed speed = speeds.get(service);
+        List<UpstreamFigures> figures = new ArrayList<>();
+        for (Upstream upstream : upstreams.values()) {
+            HostId host = upstream.candidate().host();
+            if (candidates != null && upstream.candidate().service().equals(service)) {
+                figures.add(upstream.figures(now)
+                        .withHost(candidates.contains(upstream), silent.test(host), backedOff.test(host)));
+            }
+        }
+        double meanMillis = speed == null ? 0 : speed.meanMillis();
+        return new PlacementExplainer(localHost, localZone, settings, meanMillis).explain(figures);
+    }
+
     /** Records the start of a call to the host. */
     public void recordStart(HostId host, long now) {
         Upstream upstream = upstreams.get(host);
--- a/core/src/main/java/org/trefoilledge/core/placement/ServiceUpstreams.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/ServiceUpstreams.java
@@ -2,6 +2,7 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import org.trefoilledge.core.ZoneId;
@@ -29,6 +30,11 @@
         return countEjected(localZone, now) + countEjected(otherZones, now);
     }
 
+    boolean contains(Upstream upstream) {
+        return Arrays.asList(localZone).contains(upstream)
+                || Arrays.asList(otherZones).contains(upstream);
+    }
+
     int size() {
         return localZone.length + otherZones.length;
     }
--- a/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
@@ -167,6 +167,33 @@
         return Math.max(1, load) * (1 + filled * filled * filled * filled);
     }
 
+    /** Returns the figures at the given time, without those that the dispatcher knows of the host. */
+    UpstreamFigures figures(long now) {
+        ReceivedReport report = lastReport;
+        int own = inFlight.get();
+        double others = 0;
+        double limit = candidate.slots();
+        if (report != null) {
+            double freshness = freshness(report, now);
+            others = Math.max(0, report.load().inFlight() - report.ownInFlight()) * freshness;
+            limit += (report.load().limit() - candidate.slots()) * freshness;
+        }
+        return new UpstreamFigures(
+                candidate.host(),
+                candidate.zone(),
+                own,
+                own + others,
+                limit,
+                load(now),
+                relativeTime(now),
+                expectedTime(now),
+                failureRate.decayedValue(now),
+                isEjected(now) ? ejectedUntilMillis - now : 0,
+                true,
+                false,
+                false);
+    }
+
     private double freshness(ReceivedReport report, long now) {
         return Math.max(0, 1 - (double) (now - report.receivedMillis()) / settings.maxReportAgeMillis());
     }
--- a/core/src/main/java/org/trefoilledge/core/rate/TokenPool.java
+++ b/core/src/main/java/org/trefoilledge/core/rate/TokenPool.java
@@ -34,6 +34,12 @@
         return Optional.ofNullable(tokens.pollFirst());
     }
 
+    /** Returns the number of tokens that have not expired. Changes nothing. */
+    public int available(long now) {
+        return (int)
+                tokens.stream().filter(token -> now < token.expiresMillis()).count();
+    }
+
     /** Adds tokens that were requested at the given time. */
     public void add(int count, long requestedMillis, long lifetimeMillis) {
         for (int i = 0; i < count; i++) {
--- a/core/src/main/java/org/trefoilledge/core/routing/RoutingConfig.java
+++ b/core/src/main/java/org/trefoilledge/core/routing/RoutingConfig.java
@@ -94,6 +94,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns whether there is a route of the host.
+     *
+     * @param authority host with an optional port, case-insensitive
+     */
+    public boolean hasHost(String authority) {
+        return routesByHost.containsKey(hostName(authority));
+    }
+
     private static String hostName(String authority) {
         int colon = authority.lastIndexOf(':');
         boolean hasPort = colon >= 0 && authority.indexOf(']', colon) < 0;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -25,6 +25,7 @@
 import org.trefoilledge.core.overload.RetryThrottle;
 import org.trefoilledge.core.overload.SlidingRetryThrottle;
 import org.trefoilledge.core.placement.Candidate;
+import org.trefoilledge.core.placement.PlacementExplanation;
 import org.trefoilledge.core.placement.Placer;
 import org.trefoilledge.wire.generated.Call;
 import org.trefoilledge.wire.generated.CallAnswer;
@@ -116,6 +117,12 @@
         return sending::cancel;
     }
 
+    /** Returns which upstreams a request to the service may go to now, and why not to the others. Changes nothing. */
+    PlacementExplanation explain(ServiceId service) {
+        long now = clock.millis();
+        return placer.explain(service, unreachableHosts::contains, host -> hostBackoff.isActive(host, now), now);
+    }
+
     private RetryBudget retryBudget(ServiceId service) {
         return retryBudgets.computeIfAbsent(
                 service,
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RateLimits.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RateLimits.java
@@ -99,6 +99,29 @@
         }
     }
 
+    /**
+     * The state of an organisation's limit on this node.
+     *
+     * @param tokens tokens that this node holds
+     * @param waiting requests that wait for tokens
+     * @param refusedMillis time for which requests without a token are refused without asking the owner again
+     * @param refusal verdict on such requests
+     */
+    record View(int tokens, int waiting, long refusedMillis, Verdict refusal) {}
+
+    /** Returns the state of the limit of an organisation. Takes no token and changes nothing. */
+    View view(OrganisationId organisation) {
+        OrganisationState state = statesByOrganisation.get(organisation);
+        long now = clock.millis();
+        return state == null
+                ? new View(0, 0, 0, Verdict.OVER_LIMIT)
+                : new View(
+                        state.stock.available(now),
+                        state.waiting.size(),
+                        now < state.refusalUntilMillis ? state.refusalUntilMillis - now : 0,
+                        state.cachedRefusal);
+    }
+
     /** Returns the token of a request that has not run. */
     void returnToken(OrganisationId organisation, TokenPool.Token token) {
         OrganisationState state = statesByOrganisation.get(organisation);
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -59,6 +59,7 @@
     private final UpstreamPool upstreamPool;
     private final UpstreamGate gate;
     private final PeerLinks peers;
+    private final ExplainEndpoint explainEndpoint;
     private final CallerServer callerServer;
     private final KeyValueStore store;
     private final ControlPlane controlPlane;
@@ -78,12 +79,7 @@
         boolean learnCapacity = features.contains(Feature.LEARNED_CAPACITY);
         LoadMeter loadMeter = new LoadMeter(settings.service(), clock, treeAdmission);
         gate = new UpstreamGate(
-                trafficLoop,
-                upstreamPool,
-                LocalUpstream.none(settings.service()),
-                loadMeter,
-                clock,
-                learnCapacity);
+                trafficLoop, upstreamPool, LocalUpstream.none(settings.service()), loadMeter, clock, learnCapacity);
         RateTolerance tolerance = rateTolerance(settings);
         tokenSource = new TokenSource(settings.host(), settings.zone(), tolerance, leaseClock, this::requestTokens);
         RateLimits limits = new RateLimits(leaseClock, tolerance.tokenLifetimeMillis(), tokenSource);
@@ -98,9 +94,15 @@
         Dispatcher dispatcher = new Dispatcher(
                 settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random, treeAdmission);
         AdmissionGate admission = new AdmissionGate();
+        List<RequestFilter> filters = RequestFilters.all(
+                currentConfig, headerNames, maxConfigAgeMillis(), () -> Optional.ofNullable(stopPlan));
+        explainEndpoint = new ExplainEndpoint(
+                new RequestExplainer(
+                        filters, currentConfig, headerNames, admission, limits, dispatcher::explain, clock),
+                trafficLoop,
+                metrics);
         CallerRequestHandler handler = new CallerRequestHandler(
-                RequestFilters.all(
-                        currentConfig, headerNames, maxConfigAgeMillis(), () -> Optional.ofNullable(stopPlan)),
+                filters,
                 dispatcher,
                 limits,
                 admission,
@@ -155,11 +157,7 @@
                 "Delay of the traffic thread in milliseconds",
                 trafficDelay::lastDelayMillis);
         Repeated.scheduleWithFixedDelay(trafficLoop, LoopDelayMeter.INTERVAL_MILLIS, trafficDelay);
-        endpoints.add(new Endpoint(
-                settings.operators(),
-                controlGroup,
-                (method, path, body) ->
-                        CompletableFuture.completedFuture(new Endpoint.Response(200, "text/plain", metrics.scrape()))));
+        endpoints.add(new Endpoint(settings.operators(), controlGroup, this::handleOperator));
         endpoints.add(new Endpoint(
                 settings.ready(),
                 controlGroup,
@@ -171,6 +169,12 @@
         Repeated.scheduleWithFixedDelay(trafficLoop, UPSTREAM_SWEEP_INTERVAL_MILLIS, upstreamPool::closeExpired);
     }
 
+    private CompletableFuture<Endpoint.Response> handleOperator(String method, String path, byte[] body) {
+        return path.equals(ExplainEndpoint.PATH)
+                ? explainEndpoint.handle(method, body)
+                : CompletableFuture.completedFuture(new Endpoint.Response(200, "text/plain", metrics.scrape()));
+    }
+
     private boolean ready() {
         return stopPlan == null && controlPlane.ready() && currentConfig.ageMillis() <= maxConfigAgeMillis();
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
@@ -35,6 +35,9 @@
     private final Counter storeRestores = Counter.builder("trefoilledge.store.restores")
             .description("Restores of the platform's store from a backup that this node has noticed")
             .register(registry);
+    private final Counter explanations = Counter.builder("trefoilledge.explanations")
+            .description("Requests to explain where a caller's request would go")
+            .register(registry);
     private final Map<CallerLeft, Counter> callersLeft = new EnumMap<>(CallerLeft.class);
 
     SidecarMetrics() {
@@ -84,6 +87,11 @@
         storeRestores.increment();
     }
 
+    /** Counts a request to explain where a caller's request would go. */
+    void recordExplanation() {
+        explanations.increment();
+    }
+
     /** Registers a gauge whose value is read on every scrape. */
     void registerGauge(String name, String description, DoubleSupplier value) {
         io.micrometer.core.instrument.Gauge.builder(name, value::getAsDouble)
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -235,6 +235,17 @@
             return client.send(request, HttpResponse.BodyHandlers.ofString());
         }
 
+        /** Sends a request to the operators' address. */
+        HttpResponse<String> askOperators(String method, String path, String body) throws Exception {
+            URI uri = URI.create("http://127.0.0.1:" + settings.operators().getPort() + path);
+            HttpRequest request = HttpRequest.newBuilder(uri)
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .timeout(Duration.ofSeconds(5))
+                    .method(method, HttpRequest.BodyPublishers.ofString(body))
+                    .build();
+            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        }
+
         void awaitStatus(String path, String key, int status) throws Exception {
             long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
             int last = 0;
