--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -59,6 +59,7 @@
     private final UpstreamPool upstreamPool;
     private final UpstreamGate gate;
     private final PeerLinks peers;
+    private final ExplainEndpoint explainEndpoint;
     private final CallerServer callerServer;
     private final KeyValueStore store;
     private final ControlPlane controlPlane;
@@ -107,9 +108,15 @@
         Dispatcher dispatcher = new Dispatcher(
                 settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random, treeAdmission);
         AdmissionGate admission = new AdmissionGate();
+        List<RequestFilter> filters = RequestFilters.all(
+                currentConfig, headerNames, maxConfigAgeMillis(), () -> Optional.ofNullable(stopPlan));
+        explainEndpoint = new ExplainEndpoint(
+                new RequestExplainer(
+                        filters, currentConfig, headerNames, admission, limits, dispatcher::explain, clock),
+                trafficLoop,
+                metrics);
         CallerRequestHandler handler = new CallerRequestHandler(
-                RequestFilters.all(
-                        currentConfig, headerNames, maxConfigAgeMillis(), () -> Optional.ofNullable(stopPlan)),
+                filters,
                 dispatcher,
                 limits,
                 admission,
@@ -172,11 +179,7 @@
                 "Delay of the traffic thread in milliseconds",
                 trafficDelay::lastDelayMillis);
         Repeated.scheduleWithFixedDelay(trafficLoop, LoopDelayMeter.INTERVAL_MILLIS, trafficDelay);
-        endpoints.add(new Endpoint(
-                settings.operators(),
-                controlGroup,
-                (method, path, body) ->
-                        CompletableFuture.completedFuture(new Endpoint.Response(200, "text/plain", metrics.scrape()))));
+        endpoints.add(new Endpoint(settings.operators(), controlGroup, this::handleOperator));
         endpoints.add(new Endpoint(
                 settings.ready(),
                 controlGroup,
@@ -188,6 +191,12 @@
         Repeated.scheduleWithFixedDelay(trafficLoop, UPSTREAM_SWEEP_INTERVAL_MILLIS, upstreamPool::closeExpired);
     }
 
+    private CompletableFuture<Endpoint.Response> handleOperator(String method, String path, byte[] body) {
+        return path.equals(ExplainEndpoint.PATH)
+                ? explainEndpoint.handle(method, body)
+                : CompletableFuture.completedFuture(new Endpoint.Response(200, "text/plain", metrics.scrape()));
+    }
+
     private boolean ready() {
         return stopPlan == null && controlPlane.ready() && currentConfig.ageMillis() <= maxConfigAgeMillis();
     }
