Bound trees by their outcomes, serve new requests first, and sample loads for reports

Cause: plans are late by a report, retries spent are unknown to the planner, refused requests that arrive again crowd out those that can be answered in time, and a plan without known costs limits nothing.

Change, with the feature tree-admission: nodes report the retries that they sent, and sample their load for the report while requests fail; AdmissionGate admits repeated requests after new ones; TreeOutcomeLimit halves what a node admits of a route while most of its trees fail; refusals by retries name a late Retry-After. UpstreamStatus.retries is a new field.

The whole suite has not been run to its end on this commit.

--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlan.java
@@ -6,7 +6,8 @@
 /**
  * The fraction of each class of root requests that is admitted. Immutable.
  *
- * @param admittedFractions fractions from 0 to 1; classes that are absent are admitted in full
+ * @param admittedFractions fractions from 0 to 1; classes that are absent are admitted in full. Classes that need a
+ *     failing service and are deliberately admitted in full have the fraction 1
  * @param limitedByRetries classes that are limited because the retries of their call trees are scarce, not the slots
  */
 public record AdmissionPlan(Map<RequestClass, Double> admittedFractions, Set<RequestClass> limitedByRetries) {
@@ -29,9 +30,9 @@
         return admittedFractions.getOrDefault(requestClass, 1.0);
     }
 
-    /** Returns whether the plan refuses requests of the class. */
-    public boolean limits(RequestClass requestClass) {
-        return admittedFraction(requestClass) < 1;
+    /** Returns whether the plan states what is admitted of the class. */
+    public boolean decides(RequestClass requestClass) {
+        return admittedFractions.containsKey(requestClass);
     }
 
     /** Returns whether the class is limited because the retries of its call trees are scarce. */
--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
@@ -98,7 +98,7 @@
                 .map(failing -> allocateRetries(arrivals, costs, available, failing))
                 .orElseGet(() -> allocateSlots(arrivals, costs, available));
         saturatedServices = allocation.saturatedServices();
-        return allocation.toPlan();
+        return allocation.toPlan(exemptClasses);
     }
 
     private Allocation allocateSlots(
@@ -169,12 +169,12 @@
     private Allocation exemptClasses(Function<Set<RequestClass>, Allocation> allocate, CompletionModel model) {
         Set<RequestClass> exempt = new HashSet<>();
         Allocation best = allocate.apply(exempt);
-        double bestCompletions = model.completionsPerSecond(best.toPlan());
+        double bestCompletions = model.completionsPerSecond(best.toPlan(exempt));
         for (RequestClass requests : List.copyOf(best.limitedByRetries())) {
             Set<RequestClass> candidate = new HashSet<>(exempt);
             candidate.add(requests);
             Allocation allocation = allocate.apply(candidate);
-            double completions = model.completionsPerSecond(allocation.toPlan());
+            double completions = model.completionsPerSecond(allocation.toPlan(candidate));
             // An exemption in force is kept as long as it is no worse by the same factor, so that plans do not
             // alternate.
             double requiredGain = exemptClasses.contains(requests) ? 1 / MIN_EXEMPTION_GAIN : MIN_EXEMPTION_GAIN;
@@ -311,8 +311,14 @@
             return services;
         }
 
-        AdmissionPlan toPlan() {
+        /**
+         * Returns the plan.
+         *
+         * @param exempt classes that are exempt from the limit by retries
+         */
+        AdmissionPlan toPlan(Set<RequestClass> exempt) {
             Map<RequestClass, Double> admitted = new HashMap<>();
+            exempt.forEach(requests -> admitted.put(requests, 1.0));
             fractions.forEach((requests, fraction) -> {
                 double min = limitedByRetries.contains(requests) ? minimumByRetries : MIN_ADMITTED_FRACTION;
                 admitted.put(requests, Math.max(min, fraction));
--- a/core/src/main/java/org/trefoilledge/core/admission/FailingServices.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/FailingServices.java
@@ -89,16 +89,19 @@
         lastRecordMillis = now;
         nowMillis = now;
         Map<ServiceId, double[]> rates = new HashMap<>();
+        Map<ServiceId, Double> retries = new HashMap<>();
         for (NodeLoad node : nodes) {
             double[] sums = rates.computeIfAbsent(node.service(), s -> new double[2]);
             sums[0] += node.offeredPerSecond();
             sums[1] += node.rejectedPerSecond();
+            node.retriesPerSecond().forEach((service, perSecond) -> retries.merge(service, perSecond, Double::sum));
         }
         rejectionRates.clear();
-        rates.forEach((service, sums) -> record(service, sums[0], Math.min(sums[0], sums[1]), elapsed));
+        rates.forEach((service, sums) ->
+                record(service, sums[0], Math.min(sums[0], sums[1]), retries.getOrDefault(service, 0.0), elapsed));
     }
 
-    private void record(ServiceId service, double offered, double rejected, long elapsed) {
+    private void record(ServiceId service, double offered, double rejected, double retries, long elapsed) {
         long second = Math.floorDiv(nowMillis, SECOND_MILLIS);
         History history = histories.computeIfAbsent(service, s -> new History(second));
         history.expire(second);
@@ -106,9 +109,7 @@
         double seconds = (double) elapsed / SECOND_MILLIS;
         // At least the executed calls are distinct requests.
         history.executed.merge(second, (offered - rejected) * seconds, Double::sum);
-        // At most the rejected calls were retried, and no more than the nodes allow.
-        double left = Math.max(0, allowance(history, second) - history.retriedSince(second - WINDOW_SECONDS));
-        history.retried.merge(second, Math.min(left, rejected * seconds), Double::sum);
+        history.retried.merge(second, retries * seconds, Double::sum);
         double rate = offered > 0 ? rejected / offered : 0;
         if (rate >= MIN_REJECTION_RATE) {
             rejectionRates.put(service, Math.min(MAX_REJECTION_RATE, rate));
--- a/core/src/main/java/org/trefoilledge/core/admission/NodeLoad.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/NodeLoad.java
@@ -21,6 +21,7 @@
  * @param executions executions at the upstream by route
  * @param offeredPerSecond calls per second that were passed to the upstreams
  * @param rejectedPerSecond calls per second that the upstreams rejected, or failed for a reason of their own
+ * @param retriesPerSecond retries per second that the nodes sent to each service, by their cost in the retry budget
  */
 public record NodeLoad(
         ServiceId service,
@@ -31,12 +32,14 @@
         Map<RequestClass, Double> arrivals,
         Map<RouteId, RouteLoad> executions,
         double offeredPerSecond,
-        double rejectedPerSecond) {
+        double rejectedPerSecond,
+        Map<ServiceId, Double> retriesPerSecond) {
     /** Copies the maps. */
     public NodeLoad {
         Objects.requireNonNull(service, "service");
         arrivals = Map.copyOf(arrivals);
         executions = Map.copyOf(executions);
+        retriesPerSecond = Map.copyOf(retriesPerSecond);
     }
 
     /** Creates the load of one node whose upstream rejects no calls. */
@@ -47,13 +50,14 @@
             double queueDelayMillis,
             Map<RequestClass, Double> arrivals,
             Map<RouteId, RouteLoad> executions) {
-        return new NodeLoad(service, slots > 0 ? 1 : 0, slots, busySlots, queueDelayMillis, arrivals, executions, 0, 0);
+        return new NodeLoad(
+                service, slots > 0 ? 1 : 0, slots, busySlots, queueDelayMillis, arrivals, executions, 0, 0, Map.of());
     }
 
-    /** Returns this load with the given rates of calls passed to the upstream and of those that it rejected. */
-    public NodeLoad withRejections(double offered, double rejected) {
+    /** Returns this load with the given rates of calls passed to the upstream, of those that it rejected, and of retries. */
+    public NodeLoad withRejections(double offered, double rejected, Map<ServiceId, Double> retries) {
         return new NodeLoad(
-                service, nodes, slots, busySlots, queueDelayMillis, arrivals, executions, offered, rejected);
+                service, nodes, slots, busySlots, queueDelayMillis, arrivals, executions, offered, rejected, retries);
     }
 
     /** Returns the sums of the loads of several nodes, one for each service. */
@@ -74,6 +78,7 @@
         double rejected = 0;
         Map<RequestClass, Double> arrivals = new HashMap<>();
         Map<RouteId, RouteLoad> executions = new HashMap<>();
+        Map<ServiceId, Double> retries = new HashMap<>();
         for (NodeLoad load : loads) {
             nodes += load.nodes();
             slots += load.slots();
@@ -83,6 +88,7 @@
             rejected += load.rejectedPerSecond();
             delaySum += load.nodes() * load.queueDelayMillis();
             load.arrivals().forEach((requestClass, perSecond) -> arrivals.merge(requestClass, perSecond, Double::sum));
+            load.retriesPerSecond().forEach((service, perSecond) -> retries.merge(service, perSecond, Double::sum));
             load.executions().forEach((route, routeLoad) -> executions.merge(route, routeLoad, RouteLoad::plus));
         }
         return new NodeLoad(
@@ -94,6 +100,7 @@
                 arrivals,
                 executions,
                 offered,
-                rejected);
+                rejected,
+                retries);
     }
 }
--- a/core/src/test/java/org/trefoilledge/core/admission/FailingServiceReplay.java
+++ b/core/src/test/java/org/trefoilledge/core/admission/FailingServiceReplay.java
@@ -35,6 +35,7 @@
     private static final long LOOKUP_MILLIS = 25;
     private static final long ROOT_CALL_MILLIS = 350;
     private static final long REJECTION_MILLIS = 2;
+    private static final long PLAN_DELAY_MILLIS = 100;
     private static final long FRONT_MILLIS = 30;
     private static final int MAX_ATTEMPTS = 3;
     private static final int MAX_CALLER_ATTEMPTS = 4;
@@ -128,6 +129,7 @@
         private final AdmissionGate gate = new AdmissionGate();
         private final NodeMeter meter = new NodeMeter(FRONT, 0);
         private final RetryBudget budget = newBudget();
+        private final TreeOutcomeLimit outcomes = new TreeOutcomeLimit();
     }
 
     private final class FrontNode {
@@ -279,14 +281,18 @@
         RequestClass requests = load.requestClass();
         long deadline = arrived + load.deadlineMillis();
         node.meter.arrived(requests);
-        if (!node.gate.admit(requests)) {
+        boolean repeated = attemptsLeft < MAX_CALLER_ATTEMPTS && plan.isLimitedByRetries(requests);
+        if (!node.gate.admit(requests, repeated)) {
             long third = Math.max(1, (deadline - now) / 3);
             long retryAfter = scenario.treeAdmission() && plan.isLimitedByRetries(requests)
                     ? random.nextLong(third / 2, third + 1)
                     : random.nextLong(load.targetMillis() / 4, 3 * load.targetMillis() / 4 + 1);
             retryLater(load, arrived, attemptsLeft, retryAfter, onSuccess);
+        } else if (scenario.treeAdmission() && !plan.decides(requests) && !node.outcomes.admit(requests.route())) {
+            long retryAfter = random.nextLong(load.targetMillis() / 4, 3 * load.targetMillis() / 4 + 1);
+            retryLater(load, arrived, attemptsLeft, retryAfter, onSuccess);
         } else if (load.rootIsDeep()) {
-            call(node.budget, false, requests.route(), ROOT_CALL_MILLIS, deadline, ok -> {
+            call(node.budget, node.meter, false, requests.route(), ROOT_CALL_MILLIS, deadline, ok -> {
                 if (ok) {
                     onSuccess.run();
                 } else {
@@ -294,7 +300,16 @@
                 }
             });
         } else {
-            execute(load, deadline, onSuccess);
+            execute(load, deadline, ok -> {
+                if (plan.decides(requests)) {
+                    node.outcomes.forget(requests.route());
+                } else {
+                    node.outcomes.recordOutcome(requests.route(), !ok, now);
+                }
+                if (ok) {
+                    onSuccess.run();
+                }
+            });
         }
     }
 
@@ -307,7 +322,7 @@
         }
     }
 
-    private void execute(Load load, long deadline, Runnable onSuccess) {
+    private void execute(Load load, long deadline, Consumer<Boolean> onDone) {
         FrontNode node = frontNodes.get(random.nextInt(FRONT_NODES));
         RouteId route = load.requestClass().route();
         long started = now;
@@ -316,9 +331,7 @@
                 FRONT_MILLIS,
                 () -> callNext(node, load.nestedCalls(), deadline, ok -> {
                     node.meter.ended(route, now - started, false, now);
-                    if (ok && now <= deadline) {
-                        onSuccess.run();
-                    }
+                    onDone.accept(ok && now <= deadline);
                 }));
     }
 
@@ -328,7 +341,7 @@
             return;
         }
         node.meter.called(LOOKUP, now);
-        call(node.budget, true, LOOKUP, LOOKUP_MILLIS, deadline, ok -> {
+        call(node.budget, node.meter, true, LOOKUP, LOOKUP_MILLIS, deadline, ok -> {
             if (ok) {
                 callNext(node, left - 1, deadline, onDone);
             } else {
@@ -338,15 +351,22 @@
     }
 
     private void call(
-            RetryBudget budget, boolean nested, RouteId route, long work, long deadline, Consumer<Boolean> onAnswer) {
+            RetryBudget budget,
+            NodeMeter meter,
+            boolean nested,
+            RouteId route,
+            long work,
+            long deadline,
+            Consumer<Boolean> onAnswer) {
         budget.recordRequest(now);
         requestsBySecond.merge(now / 1_000, 1L, Long::sum);
         AttemptPolicy policy = new AttemptPolicy(MAX_ATTEMPTS, true, deadline, !scenario.treeAdmission());
-        tryCall(budget, nested, route, work, policy, new HashSet<>(), onAnswer);
+        tryCall(budget, meter, nested, route, work, policy, new HashSet<>(), onAnswer);
     }
 
     private void tryCall(
             RetryBudget budget,
+            NodeMeter meter,
             boolean nested,
             RouteId route,
             long work,
@@ -364,8 +384,9 @@
             if (next == AttemptPolicy.Next.RETRY_WITHIN_BUDGET
                     && tried.size() < upstreams.size()
                     && budget.tryRetry(1, nested, now)) {
+                meter.retried(DEEP);
                 retriesBySecond.merge(now / 1_000, 1L, Long::sum);
-                tryCall(budget, nested, route, work, policy, tried, onAnswer);
+                tryCall(budget, meter, nested, route, work, policy, tried, onAnswer);
             } else {
                 onAnswer.accept(executed);
             }
@@ -379,19 +400,19 @@
         rootNodes.forEach(node -> loads.add(node.meter.sample(scenario.reportMillis(), now)));
         frontNodes.forEach(node -> loads.add(node.meter.sample(scenario.reportMillis(), now)));
         upstreams.forEach(node -> loads.add(node.meter.sample(scenario.reportMillis(), now)));
-        schedule(scenario.reportMillis(), () -> {
+        schedule(PLAN_DELAY_MILLIS, () -> {
             AdmissionPlan next = planner.plan(NodeLoad.sumByService(loads), this::split, now);
-            schedule(scenario.reportMillis(), () -> apply(next));
+            schedule(scenario.reportMillis() - PLAN_DELAY_MILLIS, () -> apply(next));
         });
     }
 
     private void apply(AdmissionPlan next) {
         plan = next;
         rootNodes.forEach(node -> node.gate.plan(next));
-        if (now >= scenario.failFromMillis() - 500 && now < scenario.failUntilMillis() + 3_000) {
+        if (now >= scenario.failFromMillis() - 500 && now < scenario.failUntilMillis() + 9_000) {
             Map<String, String> fractions = new TreeMap<>();
             scenario.loads().stream()
-                    .filter(load -> next.limits(load.requestClass()))
+                    .filter(load -> next.decides(load.requestClass()))
                     .forEach(load -> fractions.put(
                             load.name(), String.format("%.3f", next.admittedFraction(load.requestClass()))));
             trace.append(String.format(
--- a/core/src/test/java/org/trefoilledge/core/admission/FailingServiceReplayTest.java
+++ b/core/src/test/java/org/trefoilledge/core/admission/FailingServiceReplayTest.java
@@ -67,4 +67,63 @@
         assertThat(replay(true, loads, 0.55, 8_000).counts("list").completedShare())
                 .isGreaterThan(replay(false, loads, 0.55, 8_000).counts("list").completedShare());
     }
+
+    private static FailingServiceReplay replay(boolean on, int failing, int slots, long failFrom, double surge) {
+        List<FailingServiceReplay.Load> loads = SEATS.stream()
+                .map(load -> new FailingServiceReplay.Load(
+                        load.name(),
+                        load.rank(),
+                        surge * load.perSecond(),
+                        load.nestedCalls(),
+                        load.rootIsDeep(),
+                        load.deadlineMillis(),
+                        load.targetMillis(),
+                        load.fromMillis()))
+                .toList();
+        return FailingServiceReplay.run(new FailingServiceReplay.Scenario(
+                on, loads, 0.55, failing, 23, slots, failFrom, failFrom + 8_000, failFrom + 16_000, 250, 1));
+    }
+
+    /** One zone's upstreams fail: a limit for the rate of that zone alone would refuse trees that others can serve. */
+    @Test
+    void moreTreesCompleteWhenTheUpstreamsOfOneZoneFail() {
+        FailingServiceReplay off = replay(false, 8, 20, FAIL_FROM_MILLIS, 1);
+        FailingServiceReplay on = replay(true, 8, 20, FAIL_FROM_MILLIS, 1);
+
+        assertThat(on.counts("reserve").completedShare())
+                .isGreaterThan(off.counts("reserve").completedShare());
+        assertThat(on.counts("browse").completedShare())
+                .isGreaterThan(off.counts("browse").completedShare());
+    }
+
+    /** Rejected calls hold slots briefly; costs learned from them would admit more trees than there are slots for. */
+    @Test
+    void importantTreesCompleteWhenTheFailingServiceIsShortOfSlots() {
+        FailingServiceReplay off = replay(false, 23, 8, FAIL_FROM_MILLIS, 1);
+        FailingServiceReplay on = replay(true, 23, 8, FAIL_FROM_MILLIS, 1);
+
+        assertThat(on.counts("reserve").completedShare())
+                .isGreaterThan(2 * off.counts("reserve").completedShare());
+    }
+
+    /** A surge and failures from the first second, when the plan knows no costs and the nodes have no budget yet. */
+    @Test
+    void moreTreesCompleteWhenAFleetWithoutKnownCostsFailsInASurge() {
+        FailingServiceReplay off = replay(false, 23, 20, 0, 1.8);
+        FailingServiceReplay on = replay(true, 23, 20, 0, 1.8);
+
+        assertThat(on.counts("reserve").completedShare())
+                .isGreaterThan(off.counts("reserve").completedShare());
+        assertThat(on.counts("orders").completedShare()).isGreaterThan(0.99);
+    }
+
+    /** A surge alone, from the first second, must not be served worse than without the feature. */
+    @Test
+    void surgeWithoutFailuresIsServedAsBefore() {
+        FailingServiceReplay off = replay(false, 0, 20, 0, 1.8);
+        FailingServiceReplay on = replay(true, 0, 20, 0, 1.8);
+
+        on.classNames().forEach(name -> assertThat(on.counts(name).completedShare())
+                .isGreaterThan(off.counts(name).completedShare() - 0.02));
+    }
 }
--- a/core/src/test/java/org/trefoilledge/core/admission/NodeMeter.java
+++ b/core/src/test/java/org/trefoilledge/core/admission/NodeMeter.java
@@ -22,6 +22,8 @@
     private final Map<RequestClass, Double> arrivalRates = new HashMap<>();
     private final Map<RouteId, Double> executionRates = new HashMap<>();
     private final Map<RouteId, Double> holds = new HashMap<>();
+    private final Map<ServiceId, Double> retried = new HashMap<>();
+    private final Map<ServiceId, Double> retryRates = new HashMap<>();
     private double answered;
     private double rejected;
     private double answeredRate;
@@ -58,6 +60,10 @@
         busy--;
     }
 
+    void retried(ServiceId target) {
+        retried.merge(target, 1.0, Double::sum);
+    }
+
     int busy() {
         return busy;
     }
@@ -75,6 +81,8 @@
         answeredRate += (answered * 1_000 / elapsed - answeredRate) * rejectionWeight;
         rejectedRate += (rejected * 1_000 / elapsed - rejectedRate) * rejectionWeight;
         busySlots += (busy - busySlots) * weight;
+        average(retryRates, retried, elapsed, rejectionWeight);
+        retried.clear();
         arrived.clear();
         started.clear();
         ended.clear();
@@ -84,7 +92,7 @@
         executionRates.forEach((route, rate) -> executions.put(
                 route, new RouteLoad(rate, holds.getOrDefault(route, 0.0), ratios.callsPerExecution(route))));
         return NodeLoad.of(service, slots, busySlots, 0, arrivalRates, executions)
-                .withRejections(answeredRate, rejectedRate);
+                .withRejections(answeredRate, rejectedRate, retryRates);
     }
 
     private static <K> void average(Map<K, Double> rates, Map<K, Double> counts, double elapsed, double weight) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/CallerRequestHandler.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/CallerRequestHandler.java
@@ -1,17 +1,24 @@
 package org.trefoilledge.sidecar;
 
 import com.google.protobuf.UnsafeByteOperations;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.core.OrganisationId;
+import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.ServiceId;
 import org.trefoilledge.core.admission.AdmissionGate;
+import org.trefoilledge.core.admission.RecentRefusals;
 import org.trefoilledge.core.admission.RequestClass;
+import org.trefoilledge.core.admission.TreeOutcomeLimit;
 import org.trefoilledge.core.rate.TokenPool;
 import org.trefoilledge.core.routing.HostRoute;
 import org.trefoilledge.core.routing.OrganisationPolicy;
@@ -30,6 +37,8 @@
     /** Shortest retry delay of a caller that is refused by the admission plan: the time to open a new connection. */
     private static final long MIN_RETRY_AFTER_MILLIS = 20;
 
+    private static final Logger LOG = LoggerFactory.getLogger(CallerRequestHandler.class);
+
     private final List<RequestFilter> filters;
     private final Dispatcher dispatcher;
     private final RateLimits rateLimits;
@@ -42,6 +51,14 @@
     private final DecisionLog decisionLog;
     private final SidecarMetrics metrics;
     private final RandomGenerator random;
+    private final boolean treeAdmission;
+    private final TreeOutcomeLimit treeOutcomes;
+    private final RecentRefusals refusedByRetries = new RecentRefusals();
+    /** Also read by the control thread. */
+    private volatile int routesLimitedByOutcomes;
+
+    /** Routes whose executions make calls. */
+    private final Set<RouteId> treeRoutes = new HashSet<>();
 
     CallerRequestHandler(
             List<RequestFilter> filters,
@@ -55,7 +72,9 @@
             Clock clock,
             DecisionLog decisionLog,
             SidecarMetrics metrics,
-            RandomGenerator random) {
+            RandomGenerator random,
+            boolean treeAdmission,
+            TreeOutcomeLimit treeOutcomes) {
         this.filters = filters;
         this.dispatcher = dispatcher;
         this.rateLimits = rateLimits;
@@ -68,6 +87,8 @@
         this.decisionLog = decisionLog;
         this.metrics = metrics;
         this.random = random;
+        this.treeAdmission = treeAdmission;
+        this.treeOutcomes = treeOutcomes;
     }
 
     @Override
@@ -107,9 +128,12 @@
         void start() {
             if (context.isNested()) {
                 loadMeter.called(context.route().id());
-            } else if (!admit()) {
-                sendAnswer(context, Refusals.refusal(ErrorKind.OVERLOADED, retryAfterMillis(), "the plan"), onAnswer);
-                return;
+            } else {
+                Optional<CallAnswer> refusal = refusalByAdmission();
+                if (refusal.isPresent()) {
+                    sendAnswer(context, refusal.get(), onAnswer);
+                    return;
+                }
             }
             Optional<OrganisationPolicy> limited = context.organisation().filter(OrganisationPolicy::hasRateLimit);
             if (limited.isPresent()) {
@@ -121,10 +145,35 @@
             }
         }
 
-        private boolean admit() {
+        private Optional<CallAnswer> refusalByAdmission() {
             RequestClass requestClass = new RequestClass(context.route().id(), context.rank());
             loadMeter.arrived(requestClass);
-            return admission.admit(requestClass);
+            boolean byRetries = admission.isLimitedByRetries(requestClass);
+            boolean repeated = byRetries && refusedByRetries.contains(context.id(), clock.millis());
+            if (!admission.admit(requestClass, repeated)) {
+                if (byRetries) {
+                    refusedByRetries.add(context.id(), clock.millis());
+                }
+                metrics.recordAdmissionRefusal(byRetries ? "retries" : "slots");
+                long retryAfterMillis = byRetries ? lateRetryAfterMillis() : retryAfterMillis();
+                return Optional.of(Refusals.refusal(ErrorKind.OVERLOADED, retryAfterMillis, "the plan"));
+            }
+            if (treeAdmission && !admission.decides(requestClass) && !treeOutcomes.admit(requestClass.route())) {
+                metrics.recordAdmissionRefusal("outcomes");
+                return Optional.of(
+                        Refusals.refusal(ErrorKind.OVERLOADED, retryAfterMillis(), "most trees of the route fail"));
+            }
+            return Optional.empty();
+        }
+
+        /**
+         * Returns a random time in the second half of the longest one that the caller honours, a third of what it has
+         * left, because services fail for seconds.
+         */
+        private long lateRetryAfterMillis() {
+            long elapsedMillis = clock.millis() - context.request().receivedMillis();
+            long longest = (context.timeoutMillis(headerNames.deadlineMillis()) - elapsedMillis) / 3;
+            return Math.max(MIN_RETRY_AFTER_MILLIS, random.nextLong(longest / 2, Math.max(longest, 1) + 1));
         }
 
         /** Returns a random part of the route's target time, to spread retries that can still be answered in time. */
@@ -234,6 +283,9 @@
                             context.organisation().orElseThrow().id(), token));
         }
         CallAnswer answer = toCallerAnswer(context, outcome);
+        if (treeAdmission) {
+            recordTreeOutcome(context, outcome);
+        }
         metrics.recordAnswer(answer, clock.millis() - context.request().receivedMillis());
         decisionLog.logAnswer(
                 context.id(),
@@ -246,6 +298,33 @@
         onAnswer.accept(answer);
     }
 
+    /** Returns the number of routes that are limited by the outcomes of their call trees. May be called from any thread. */
+    int routesLimitedByOutcomes() {
+        return routesLimitedByOutcomes;
+    }
+
+    /** Records the outcome of a call tree that a caller started; requests that have not run are no outcome. */
+    private void recordTreeOutcome(RequestContext context, CallAnswer outcome) {
+        if (context.route() == null || context.isNested() || Refusals.isNotRun(outcome)) {
+            return;
+        }
+        RouteId route = context.route().id();
+        if (outcome.getMakesCalls()) {
+            treeRoutes.add(route);
+        }
+        if (admission.decides(new RequestClass(route, context.rank()))) {
+            treeOutcomes.forget(route);
+            routesLimitedByOutcomes = treeOutcomes.limitedRoutes();
+        } else if (treeRoutes.contains(route)
+                && treeOutcomes.recordOutcome(route, outcome.getStatus() >= 500, clock.millis())) {
+            routesLimitedByOutcomes = treeOutcomes.limitedRoutes();
+            LOG.info(
+                    "admission: {} of the requests on route {} are admitted, by the outcomes of its call trees",
+                    treeOutcomes.admittedFraction(route),
+                    route);
+        }
+    }
+
     /**
      * Converts an outcome to the answer for the caller. Statuses that imply that a request has not run are sent only if
      * that is certain.
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.HostId;
@@ -112,7 +113,8 @@
                 configs,
                 clock,
                 new TrafficLoad(),
-                new ReportEffects());
+                new ReportEffects(),
+                treeAdmission);
         upstreamWatch =
                 new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis(), System::currentTimeMillis);
         departures = new DepartureStore(control, store, notes, settings.host(), random, this::restoreDepartures);
@@ -314,6 +316,11 @@
         public NodeLoad nextLoad() {
             return traffic.pollLoad();
         }
+
+        @Override
+        public void sampleLoad(Consumer<NodeLoad> receiver) {
+            traffic.sampleLoad(control, receiver);
+        }
     }
 
     private final class ReportEffects implements NodeReports.Listener {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -41,6 +41,7 @@
     private final EventLoop trafficLoop;
     private final Clock clock;
     private final DecisionLog decisionLog;
+    private final SidecarMetrics metrics;
     private final RandomGenerator random;
     private final boolean treeAdmission;
     private final HostBackoff hostBackoff = new HostBackoff();
@@ -59,6 +60,7 @@
             EventLoop trafficLoop,
             Clock clock,
             DecisionLog decisionLog,
+            SidecarMetrics metrics,
             RandomGenerator random,
             boolean treeAdmission) {
         this.self = self;
@@ -68,6 +70,7 @@
         this.trafficLoop = trafficLoop;
         this.clock = clock;
         this.decisionLog = decisionLog;
+        this.metrics = metrics;
         this.random = random;
         this.treeAdmission = treeAdmission;
     }
@@ -244,7 +247,9 @@
 
         private void retryOrComplete(CallAnswer outcome, long now) {
             triedHosts.add(attemptHost);
-            switch (policy.next(toAttemptOutcome(outcome), now)) {
+            AttemptOutcome attempt = toAttemptOutcome(outcome);
+            gate.recordAttempt(attempt.failed() && attempt.reachedUpstream());
+            switch (policy.next(attempt, now)) {
                 case RETRY -> {
                     backOffHost(outcome, now);
                     startNextAttempt(now);
@@ -276,7 +281,13 @@
         /** Takes a retry from the budget. A retry also repeats nested calls, which count at the services they reach. */
         private boolean tryRetry(long now) {
             double cost = RetryCost.of(routesMakingCalls.contains(request.call().getRoute()));
-            return retryBudget(request.service()).tryRetry(cost, request.call().getNested(), now);
+            boolean granted =
+                    retryBudget(request.service()).tryRetry(cost, request.call().getNested(), now);
+            metrics.recordRetry(granted);
+            if (granted) {
+                gate.recordRetry(request.service(), cost);
+            }
+            return granted;
         }
 
         private void backOffHost(CallAnswer outcome, long now) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMessages.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMessages.java
@@ -16,6 +16,7 @@
 import org.trefoilledge.wire.generated.ChildCalls;
 import org.trefoilledge.wire.generated.ClassArrivals;
 import org.trefoilledge.wire.generated.RouteExecutions;
+import org.trefoilledge.wire.generated.ServiceRetries;
 import org.trefoilledge.wire.generated.UpstreamStatus;
 
 /** Converts node loads and admission plans to and from the messages between nodes. */
@@ -41,6 +42,9 @@
                         .setRoute(requests.route().value())
                         .setRank(requests.rank())
                         .setPerSecond(toFixedPoint(perSecond))));
+        load.retriesPerSecond()
+                .forEach((service, perSecond) -> status.addRetries(
+                        ServiceRetries.newBuilder().setService(service.value()).setPerSecond(toFixedPoint(perSecond))));
         load.executions().forEach((route, executions) -> {
             RouteExecutions.Builder message = RouteExecutions.newBuilder()
                     .setRoute(route.value())
@@ -55,18 +59,16 @@
         return status.build();
     }
 
-    /** Converts a plan; classes that are admitted in full are left out. */
+    /** Converts a plan. */
     static List<AdmittedPart> toMessage(AdmissionPlan plan) {
         List<AdmittedPart> messages = new ArrayList<>();
         plan.admittedFractions().forEach((requests, fraction) -> {
-            if (fraction < 1) {
-                messages.add(AdmittedPart.newBuilder()
-                        .setRoute(requests.route().value())
-                        .setRank(requests.rank())
-                        .setPart((int) Math.round(fraction * PLAN_SCALE))
-                        .setLimitedByRetries(plan.isLimitedByRetries(requests))
-                        .build());
-            }
+            messages.add(AdmittedPart.newBuilder()
+                    .setRoute(requests.route().value())
+                    .setRank(requests.rank())
+                    .setPart((int) Math.round(fraction * PLAN_SCALE))
+                    .setLimitedByRetries(plan.isLimitedByRetries(requests))
+                    .build());
         });
         return messages;
     }
@@ -102,6 +104,10 @@
                     new RouteLoad(
                             entry.getPerSecond() / FIXED_POINT_SCALE, entry.getHold() / FIXED_POINT_SCALE, calls));
         }
+        Map<ServiceId, Double> retries = new HashMap<>();
+        status.getRetriesList()
+                .forEach(entry ->
+                        retries.put(new ServiceId(entry.getService()), entry.getPerSecond() / FIXED_POINT_SCALE));
         return new NodeLoad(
                 new ServiceId(status.getService()),
                 status.getNodes(),
@@ -111,7 +117,8 @@
                 arrivals,
                 executions,
                 status.getOffered() / FIXED_POINT_SCALE,
-                status.getRejected() / FIXED_POINT_SCALE);
+                status.getRejected() / FIXED_POINT_SCALE,
+                retries);
     }
 
     private static int toFixedPoint(double value) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoadMeter.java
@@ -25,10 +25,10 @@
     /** Time constant of the averages of answered and rejected calls; short, because retries run out within seconds. */
     private static final double REJECTION_AVERAGING_MILLIS = 200;
 
-    /** Rejected calls of an interval, and their part of all answers, from which on the load is reported sooner. */
-    private static final int PRESSURE_REJECTIONS = 4;
+    /** Failed or rejected calls of an interval, and their part of all, from which on the load is reported sooner. */
+    private static final int PRESSURE_FAILURES = 4;
 
-    private static final double PRESSURE_REJECTION_RATE = 0.1;
+    private static final double PRESSURE_FAILURE_RATE = 0.1;
 
     /** Average rates below this are dropped. */
     private static final double NEGLIGIBLE_PER_SECOND = 0.01;
@@ -64,9 +64,18 @@
     private final boolean measuresRejections;
     private int answeredCount;
     private int rejectedCount;
+    private int attemptCount;
+    private int failedAttemptCount;
     private double answeredRate;
     private double rejectedRate;
     /** Also read by the control thread. */
+    private volatile double rejectionRate;
+
+    /** Retries that this node sent to each service in the current interval, by their cost. */
+    private final Map<ServiceId, Double> retried = new HashMap<>();
+
+    private final Map<ServiceId, Double> retryRates = new HashMap<>();
+    /** Also read by the control thread. */
     private volatile boolean underPressure;
 
     /** Creates a meter that does not report rejections. */
@@ -138,13 +147,37 @@
     void answered(boolean rejected) {
         answeredCount++;
         rejectedCount += rejected ? 1 : 0;
-        if (measuresRejections
-                && rejectedCount >= PRESSURE_REJECTIONS
-                && rejectedCount >= PRESSURE_REJECTION_RATE * answeredCount) {
+        recordFailurePressure(rejectedCount, answeredCount);
+    }
+
+    /**
+     * Records that an attempt of this node to execute a request has ended. A node whose requests fail needs the next plan
+     * soon, also if its own upstream is healthy.
+     */
+    void attempted(boolean failed) {
+        attemptCount++;
+        failedAttemptCount += failed ? 1 : 0;
+        recordFailurePressure(failedAttemptCount, attemptCount);
+    }
+
+    private void recordFailurePressure(int failures, int all) {
+        if (measuresRejections && failures >= PRESSURE_FAILURES && failures >= PRESSURE_FAILURE_RATE * all) {
             underPressure = true;
         }
     }
 
+    /** Records a retry that this node sends to a service, and its cost in the retry budget. */
+    void retried(ServiceId target, double cost) {
+        if (measuresRejections) {
+            retried.merge(target, cost, Double::sum);
+        }
+    }
+
+    /** Returns the average part of the calls that the upstream rejects, from 0 to 1. May be called from any thread. */
+    double rejectionRate() {
+        return rejectionRate;
+    }
+
     /** Returns whether executions of the route make calls of their own, as measured so far. */
     boolean makesCalls(RouteId route) {
         return !callRatios.callsPerExecution(route).isEmpty();
@@ -191,15 +224,20 @@
         waitMillisSum = 0;
         waitCount = 0;
         NodeLoad load = NodeLoad.of(service, slots, meanBusySlots, meanWaitMillis, arrivalRates, routeLoads());
-        return measuresRejections ? load.withRejections(answeredRate, rejectedRate) : load;
+        return measuresRejections ? load.withRejections(answeredRate, rejectedRate, retryRates) : load;
     }
 
     private void updateRejections(double elapsedMillis) {
         double weight = 1 - Math.exp(-elapsedMillis / REJECTION_AVERAGING_MILLIS);
         answeredRate += (answeredCount * 1_000 / elapsedMillis - answeredRate) * weight;
         rejectedRate += (rejectedCount * 1_000 / elapsedMillis - rejectedRate) * weight;
+        rejectionRate = answeredRate < NEGLIGIBLE_PER_SECOND ? 0 : rejectedRate / answeredRate;
+        updateAverages(retryRates, retried, elapsedMillis, weight);
         answeredCount = 0;
         rejectedCount = 0;
+        attemptCount = 0;
+        failedAttemptCount = 0;
+        retried.clear();
     }
 
     private Map<RouteId, RouteLoad> routeLoads() {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/NodeReports.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.Clock;
@@ -43,6 +44,9 @@
     private final Clock clock;
     private final LoadSource loadSource;
     private final Listener listener;
+    /** Whether reports under pressure contain a load that is sampled for them. */
+    private final boolean samplesUnderPressure;
+
     private final ReportThrottle pace = new ReportThrottle();
     private final Map<HostId, Long> backoffUntil = new HashMap<>();
     private long directorySource;
@@ -62,6 +66,9 @@
 
         /** Returns the load of the last complete interval, and ends the current one. */
         NodeLoad nextLoad();
+
+        /** Ends the current interval, and passes its load to the receiver later. */
+        void sampleLoad(Consumer<NodeLoad> receiver);
     }
 
     /** Receives the contents of a collector's answers. */
@@ -84,7 +91,8 @@
             ConfigFetch configs,
             Clock clock,
             LoadSource loadSource,
-            Listener listener) {
+            Listener listener,
+            boolean samplesUnderPressure) {
         this.self = self;
         this.zone = zone;
         this.peers = peers;
@@ -95,6 +103,7 @@
         this.clock = clock;
         this.loadSource = loadSource;
         this.listener = listener;
+        this.samplesUnderPressure = samplesUnderPressure;
         this.directoryWaitStartMillis = clock.millis();
     }
 
@@ -127,8 +136,20 @@
         if (now - lastAnswerMillis > PLAN_EXPIRY_MILLIS) {
             applyPlan(AdmissionPlan.ADMIT_ALL);
         }
-        if (!awaitingAnswer && pace.shouldReport(loadSource.underPressure(), limiting)) {
-            reportLoad(now);
+        boolean underPressure = loadSource.underPressure();
+        if (awaitingAnswer || !pace.shouldReport(underPressure, limiting)) {
+            return;
+        }
+        if (samplesUnderPressure && underPressure) {
+            // The load of the last complete interval would be older by one tick, in which failing services use up
+            // retries.
+            awaitingAnswer = true;
+            loadSource.sampleLoad(load -> {
+                awaitingAnswer = false;
+                reportLoad(clock.millis(), load);
+            });
+        } else {
+            reportLoad(now, loadSource.nextLoad());
         }
     }
 
@@ -137,12 +158,12 @@
         listener.planReceived(plan);
     }
 
-    private void reportLoad(long now) {
+    private void reportLoad(long now, NodeLoad load) {
         HostId collectorHost = collector(now);
         StatusReport report = StatusReport.newBuilder()
                 .setConfigVersion(knowledge.version())
                 .setConfigAgeMillis((int) knowledge.ageMillis())
-                .setUpstream(LoadMessages.toMessage(loadSource.nextLoad()))
+                .setUpstream(LoadMessages.toMessage(load))
                 .setDirectorySource(directorySource)
                 .setDirectoryVersion(directoryVersion)
                 .build();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -18,6 +18,7 @@
 import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.SuspendAwareClock;
 import org.trefoilledge.core.admission.AdmissionGate;
+import org.trefoilledge.core.admission.TreeOutcomeLimit;
 import org.trefoilledge.core.placement.PlacementSettings;
 import org.trefoilledge.core.placement.Placer;
 import org.trefoilledge.core.rate.RateTolerance;
@@ -86,7 +87,7 @@
                 trafficGroup);
         Placer placer = new Placer(settings.host(), settings.zone(), PlacementSettings.defaults(settings.host()));
         Dispatcher dispatcher = new Dispatcher(
-                settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, random, treeAdmission);
+                settings.host(), gate, peers, placer, trafficLoop, clock, decisionLog, metrics, random, treeAdmission);
         AdmissionGate admission = new AdmissionGate();
         CallerRequestHandler handler = new CallerRequestHandler(
                 RequestFilters.all(
@@ -101,9 +102,13 @@
                 clock,
                 decisionLog,
                 metrics,
-                random);
+                random,
+                treeAdmission,
+                new TreeOutcomeLimit());
         callerServer = new CallerServer(trafficGroup, handler, this::callerLimits, bodyMemory, clock);
         store = platform.openStore(settings.store(), controlLoop);
+        TrafficPlane traffic = new TrafficPlane(
+                trafficLoop, gate, dispatcher, placer, tokenSource, limits, admission, settings.service());
         controlPlane = new ControlPlane(
                 settings,
                 platform,
@@ -116,8 +121,25 @@
                 currentConfig,
                 metrics,
                 peers,
-                new TrafficPlane(
-                        trafficLoop, gate, dispatcher, placer, tokenSource, limits, admission, settings.service()));
+                traffic);
+        if (treeAdmission) {
+            registerTreeGauges(loadMeter, traffic, handler);
+        }
+    }
+
+    private void registerTreeGauges(LoadMeter loadMeter, TrafficPlane traffic, CallerRequestHandler handler) {
+        metrics.registerGauge(
+                "trefoilledge.upstream.rejection.rate",
+                "Part of the calls that the upstream on this host rejects",
+                loadMeter::rejectionRate);
+        metrics.registerGauge(
+                "trefoilledge.admission.limited.by.retries",
+                "Classes of requests that the plan limits by the retries of their call trees",
+                traffic::classesLimitedByRetries);
+        metrics.registerGauge(
+                "trefoilledge.admission.limited.by.outcomes",
+                "Routes that this node limits by the outcomes of its own call trees",
+                handler::routesLimitedByOutcomes);
     }
 
     /**
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
@@ -28,6 +28,8 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final ConcurrentMap<String, Counter> answersByOutcome = new ConcurrentHashMap<>();
     private final ConcurrentMap<String, Counter> storeCallsByOutcome = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Counter> admissionRefusals = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Counter> retriesByOutcome = new ConcurrentHashMap<>();
     private final Timer latency = Timer.builder("trefoilledge.answer.time")
             .description("Time from the last byte of a request to its answer")
             .serviceLevelObjectives(LATENCY_BUCKETS)
@@ -59,6 +61,27 @@
         latency.record(Duration.ofMillis(elapsedMillis));
     }
 
+    /** Counts a root request that was refused before any work, by the cause: slots, retries or outcomes. */
+    void recordAdmissionRefusal(String cause) {
+        admissionRefusals
+                .computeIfAbsent(cause, key -> Counter.builder("trefoilledge.admission.refused")
+                        .description("Root requests refused before any work, by what limits their class")
+                        .tag("cause", key)
+                        .register(registry))
+                .increment();
+    }
+
+    /** Counts a retry of a request that has reached an upstream, granted or denied by the retry budget. */
+    void recordRetry(boolean granted) {
+        String outcome = granted ? "granted" : "denied";
+        retriesByOutcome
+                .computeIfAbsent(outcome, key -> Counter.builder("trefoilledge.retries")
+                        .description("Retries of requests that have reached an upstream, by decision of the budget")
+                        .tag("outcome", key)
+                        .register(registry))
+                .increment();
+    }
+
     /** Counts a request whose caller left. */
     void recordCallerLeft(CallerLeft stage) {
         callersLeft.get(stage).increment();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.ServiceId;
@@ -73,6 +75,11 @@
         }
     }
 
+    /** Returns the number of classes that the plan in force limits by retries. Used on the control thread. */
+    int classesLimitedByRetries() {
+        return lastPlan.limitedByRetries().size();
+    }
+
     /** Applies the organisations of a configuration: their queue weights and rate limits. */
     void applyConfig(RoutingConfig config) {
         Map<OrganisationId, Double> weights = new HashMap<>();
@@ -108,6 +115,15 @@
         return gate.isUnderPressure();
     }
 
+    /** Makes the traffic thread end the current interval, and passes its load to the receiver on the given executor. */
+    void sampleLoad(Executor control, Consumer<NodeLoad> receiver) {
+        trafficLoop.execute(() -> {
+            NodeLoad load = gate.sampleLoad();
+            lastLoad = load;
+            control.execute(() -> receiver.accept(load));
+        });
+    }
+
     /** Returns the load of the last completed interval, and makes the traffic thread end the current one. */
     NodeLoad pollLoad() {
         trafficLoop.execute(() -> lastLoad = gate.sampleLoad());
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
@@ -13,6 +13,7 @@
 import org.trefoilledge.core.Importance;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.RouteId;
+import org.trefoilledge.core.ServiceId;
 import org.trefoilledge.core.admission.NodeLoad;
 import org.trefoilledge.core.overload.Guard;
 import org.trefoilledge.core.overload.GuardAction;
@@ -143,6 +144,16 @@
         loadMeter.recordPressure();
     }
 
+    /** Records that an attempt of this node to execute a request has ended. */
+    void recordAttempt(boolean failed) {
+        loadMeter.attempted(failed);
+    }
+
+    /** Records a retry that this node sends to a service, and its cost in the retry budget. */
+    void recordRetry(ServiceId service, double cost) {
+        loadMeter.retried(service, cost);
+    }
+
     /** Returns whether calls wait or find no upstream, or requests surge. May be called from any thread. */
     boolean isUnderPressure() {
         return loadMeter.underPressure();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ZoneCollector.java
@@ -51,6 +51,9 @@
     private final Clock clock;
     private final ZoneLoads loads;
     private final Map<HostId, Long> backoffUntil = new HashMap<>();
+    /** Whether the last plan limits classes by retries. */
+    private boolean limitedByRetries;
+
     private List<AdmittedPart> admittedParts = List.of();
     private List<String> silentHosts = List.of();
     private long lastPlanMillis = Long.MIN_VALUE / 2;
@@ -122,12 +125,24 @@
         lastPlanMillis = now;
         AdmissionPlan plan =
                 knowledge.config().map(config -> loads.plan(config, now)).orElse(AdmissionPlan.ADMIT_ALL);
+        logRetryLimit(plan);
         admittedParts = LoadMessages.toMessage(plan);
         silentHosts = loads.silentNodes(directory.others(), now).stream()
                 .map(HostId::value)
                 .toList();
     }
 
+    /** Logs when the limit of call trees by retries begins or ends. */
+    private void logRetryLimit(AdmissionPlan plan) {
+        boolean limits = !plan.limitedByRetries().isEmpty();
+        if (limits && !limitedByRetries) {
+            LOG.info("plan: upstreams reject calls; limited by the retries left are {}", plan.limitedByRetries());
+        } else if (!limits && limitedByRetries) {
+            LOG.info("plan: no class is limited by retries any more");
+        }
+        limitedByRetries = limits;
+    }
+
     private void addDirectory(StatusAnswer.Builder answer, Directory.Update update) {
         answer.setDirectorySource(directorySource)
                 .setDirectoryVersion(update.version())
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -116,6 +116,10 @@
     }
 
     private Dispatcher createDispatcher(PeerLinks links, Clock clock) {
+        return createDispatcher(links, clock, false);
+    }
+
+    private Dispatcher createDispatcher(PeerLinks links, Clock clock, boolean treeAdmission) {
         UpstreamPool pool = new UpstreamPool(
                 trafficGroup,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
@@ -126,7 +130,16 @@
         UpstreamGate gate =
                 new UpstreamGate(loop, pool, LocalUpstream.none(ORDERS), new LoadMeter(ORDERS, clock), clock);
         Dispatcher created = new Dispatcher(
-                SELF, gate, links, placer, loop, clock, new DecisionLog(clock), RandomGenerator.getDefault(), false);
+                SELF,
+                gate,
+                links,
+                placer,
+                loop,
+                clock,
+                new DecisionLog(clock),
+                new SidecarMetrics(),
+                RandomGenerator.getDefault(),
+                treeAdmission);
         created.setRetryBudget(0.2, 10);
         return created;
     }
@@ -192,6 +205,31 @@
         assertThat(totalCalls()).isEqualTo(1);
     }
 
+    /** A rejected call has not been executed; giving it up after two rejections fails the whole call tree. */
+    @Test
+    void treeAdmissionRetriesRejectedRequestsBeyondMaxAttempts() throws Exception {
+        dispatcher = createDispatcher(nodes.get(2).links, Clock.system(), true);
+        CallAnswer rejected = Refusals.refusal(ErrorKind.OVERLOADED, "rejected").toBuilder()
+                .setReachedUpstream(true)
+                .build();
+        setAnswers(rejected, rejected);
+        CallAnswer answer = dispatch(false, 1);
+
+        assertThat(totalCalls()).isEqualTo(2);
+        assertThat(Refusals.isNotRun(answer)).isTrue();
+    }
+
+    @Test
+    void rejectedRequestsCountAsAttemptsWithoutTreeAdmission() throws Exception {
+        CallAnswer rejected = Refusals.refusal(ErrorKind.OVERLOADED, "rejected").toBuilder()
+                .setReachedUpstream(true)
+                .build();
+        setAnswers(rejected, rejected);
+        dispatch(false, 1);
+
+        assertThat(totalCalls()).isEqualTo(1);
+    }
+
     @Test
     void stopsRetryingWhenRetryBudgetIsSpent() throws Exception {
         runOnTrafficLoop(() -> dispatcher.setRetryBudget(0, 1));
