--- a/core/src/main/java/org/trefoilledge/core/placement/PlacementExplainer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/PlacementExplainer.java
@@ -99,7 +99,9 @@
         if (group.size() < 2 || !settings.twoChoices()) {
             return group;
         }
-        return filter(group, u -> u.cold() || isExplored(u) || group.stream().anyMatch(v -> !v.equals(u) && cost(v) >= cost(u)));
+        return filter(
+                group,
+                u -> u.cold() || isExplored(u) || group.stream().anyMatch(v -> !v.equals(u) && cost(v) >= cost(u)));
     }
 
     private boolean isExplored(UpstreamFigures upstream) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ConfigFetch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ConfigFetch.java
@@ -31,11 +31,7 @@
 
     /** @param onPeerVersion receives each version that a peer states, 0 if the peer has no configuration */
     ConfigFetch(
-            Executor control,
-            PeerLinks peers,
-            ConfigState configState,
-            Receiver receiver,
-            LongConsumer onPeerVersion) {
+            Executor control, PeerLinks peers, ConfigState configState, Receiver receiver, LongConsumer onPeerVersion) {
         this.control = control;
         this.peers = peers;
         this.configState = configState;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.HostId;
@@ -119,8 +120,8 @@
                 clock,
                 random,
                 new StoreListener());
-        ConfigFetch configs = new ConfigFetch(
-                control, peers, configState, follower::applyConfig, startupConfig::recordPeerVersion);
+        ConfigFetch configs =
+                new ConfigFetch(control, peers, configState, follower::applyConfig, startupConfig::recordPeerVersion);
         collector = new ZoneCollector(
                 settings.host(),
                 settings.zone(),
@@ -143,7 +144,8 @@
                 configs,
                 clock,
                 new TrafficLoad(),
-                new ReportEffects());
+                new ReportEffects(),
+                treeAdmission);
         upstreamWatch =
                 new UpstreamWatch(settings.service(), settings.bounds().heartbeatMillis(), System::currentTimeMillis);
         coldEntry = new ColdEntry(settings, configState, traffic, leaseClock);
@@ -394,6 +396,11 @@
         public NodeLoad nextLoad() {
             return traffic.pollLoad();
         }
+
+        @Override
+        public void sampleLoad(Consumer<NodeLoad> receiver) {
+            traffic.sampleLoad(control, receiver);
+        }
     }
 
     private final class ReportEffects implements NodeReports.Listener {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Dispatcher.java
@@ -46,6 +46,7 @@
     private final EventLoop trafficLoop;
     private final Clock clock;
     private final DecisionLog decisionLog;
+    private final SidecarMetrics metrics;
     private final RandomGenerator random;
     private final boolean treeAdmission;
     private final HostBackoff hostBackoff = new HostBackoff();
@@ -65,6 +66,7 @@
             EventLoop trafficLoop,
             Clock clock,
             DecisionLog decisionLog,
+            SidecarMetrics metrics,
             RandomGenerator random,
             boolean treeAdmission) {
         this.self = self;
@@ -74,6 +76,7 @@
         this.trafficLoop = trafficLoop;
         this.clock = clock;
         this.decisionLog = decisionLog;
+        this.metrics = metrics;
         this.random = random;
         this.treeAdmission = treeAdmission;
     }
@@ -274,7 +277,9 @@
             if (ColdStartControl.isRefusal(outcome)) {
                 retryAfterMillis = Math.max(retryAfterMillis, outcome.getRetryAfterMillis());
             }
-            switch (policy.next(toAttemptOutcome(outcome), now)) {
+            AttemptOutcome attempt = toAttemptOutcome(outcome);
+            gate.recordAttempt(attempt.failed() && attempt.reachedUpstream());
+            switch (policy.next(attempt, now)) {
                 case RETRY -> {
                     backOffHost(outcome, now);
                     startNextAttempt(now);
@@ -307,7 +312,13 @@
         /** Takes a retry from the budget. A retry also repeats nested calls, which count at the services they reach. */
         private boolean tryRetry(long now) {
             double cost = RetryCost.of(routesMakingCalls.contains(request.call().getRoute()));
-            return retryBudget(request.service()).tryRetry(cost, request.call().getNested(), now);
+            boolean granted =
+                    retryBudget(request.service()).tryRetry(cost, request.call().getNested(), now);
+            metrics.recordRetry(granted);
+            if (granted) {
+                gate.recordRetry(request.service(), cost);
+            }
+            return granted;
         }
 
         private void backOffHost(CallAnswer outcome, long now) {
