--- a/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/AdmissionPlanner.java
@@ -37,6 +37,8 @@
     private static final double MIN_MINIMUM_BY_RETRIES = 0.001;
     /** Part of the retries that these fractions may use. */
     private static final double MINIMUM_SHARE_OF_RETRIES = 0.03;
+    /** Time after a failure from which measured costs count as those of a healthy service. */
+    private static final long HEALTHY_COSTS_DELAY_MILLIS = 5_000;
     /** Factor by which an exemption from the limit by retries has to increase the completed trees. */
     private static final double MIN_EXEMPTION_GAIN = 1.1;
 
@@ -103,7 +105,13 @@
 
     private Allocation allocateSlots(
             Map<Integer, Map<RequestClass, Double>> arrivals, CallTreeCosts costs, Map<Resource, Double> available) {
-        healthyCosts = costs;
+        // Costs measured during a failure, or soon after it, lack the calls that failed trees have not made.
+        if (healthyCosts == null
+                || !failingServices
+                        .map(failing -> failing.failedWithin(HEALTHY_COSTS_DELAY_MILLIS))
+                        .orElse(false)) {
+            healthyCosts = costs;
+        }
         exemptClasses = Set.of();
         return new Allocation(available, MIN_ADMITTED_FRACTION, requests -> slotNeeds(costs, requests))
                 .admitAll(arrivals);
@@ -126,10 +134,14 @@
         arrivals.values().forEach(allArrivals::putAll);
         double minFraction = MAX_MINIMUM_BY_RETRIES;
         for (ServiceId service : failing.rejectionRates().keySet()) {
-            double retries = failing.retriesPerSecond(service) - rootRetries(allArrivals, costs, failing, service);
+            double retries = nestedRetries(allArrivals, costs, failing, service);
             double needed = neededRetries(allArrivals, costs, failing, service);
             minFraction = Math.min(minFraction, MINIMUM_SHARE_OF_RETRIES * retries / Math.max(1e-9, needed));
-            available.put(new Resource(service, Resource.Kind.RETRIES), retries - minFraction * needed);
+        }
+        for (ServiceId service : failing.rejectionRates().keySet()) {
+            double retries = nestedRetries(allArrivals, costs, failing, service);
+            double reserved = minFraction * neededRetries(allArrivals, costs, failing, service);
+            available.put(new Resource(service, Resource.Kind.RETRIES), Math.max(0, retries - reserved));
         }
         double minimum = Math.max(MIN_MINIMUM_BY_RETRIES, minFraction);
         CompletionModel model = new CompletionModel(allArrivals, costs, failing);
@@ -139,6 +151,11 @@
         return exemptClasses(allocate, model);
     }
 
+    private static double nestedRetries(
+            Map<RequestClass, Double> arrivals, CallTreeCosts costs, FailingServices failing, ServiceId service) {
+        return Math.max(0, failing.retriesPerSecond(service) - rootRetries(arrivals, costs, failing, service));
+    }
+
     /** Returns the retries per second of the root requests to the service itself. */
     private static double rootRetries(
             Map<RequestClass, Double> arrivals, CallTreeCosts costs, FailingServices failing, ServiceId service) {
--- a/core/src/main/java/org/trefoilledge/core/admission/FailingServices.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/FailingServices.java
@@ -19,6 +19,13 @@
 
     private static final long SECOND_MILLIS = 1_000;
     private static final int WINDOW_SECONDS = 10;
+    /**
+     * Calls that have to show a low rejection rate before a failure counts as over. The plan refuses most requests during
+     * a failure, so few calls are left, and a short time without a rejection proves nothing.
+     */
+    private static final double MIN_RECOVERY_CALLS = 20;
+    /** Time after which a failure counts as over without that many calls. */
+    private static final long MAX_RECOVERY_MILLIS = 3_000;
     /**
      * Time over which the remaining allowance is spread. Shorter than a window, because most failures end sooner, and a
      * request that is admitted at once is served in time.
@@ -32,6 +39,7 @@
     private final Map<ServiceId, Double> rejectionRates = new HashMap<>();
     private long lastRecordMillis = Long.MIN_VALUE;
     private long nowMillis;
+    private long lastFailureMillis = Long.MIN_VALUE / 2;
 
     /** Calls to one service by second, in counts. */
     private static final class History {
@@ -39,6 +47,12 @@
         private final TreeMap<Long, Double> retried = new TreeMap<>();
         private final long firstSecond;
         private double executedPerSecond;
+        /** Rejection rate when the service last failed, 0 if it has recovered. */
+        private double failureRate;
+        /** Calls since then. */
+        private double recoveryCalls;
+
+        private long failedMillis;
 
         History(long firstSecond) {
             this.firstSecond = firstSecond;
@@ -112,7 +126,18 @@
         history.retried.merge(second, retries * seconds, Double::sum);
         double rate = offered > 0 ? rejected / offered : 0;
         if (rate >= MIN_REJECTION_RATE) {
-            rejectionRates.put(service, Math.min(MAX_REJECTION_RATE, rate));
+            history.failureRate = Math.min(MAX_REJECTION_RATE, rate);
+            history.recoveryCalls = 0;
+            history.failedMillis = nowMillis;
+            lastFailureMillis = nowMillis;
+        } else {
+            history.recoveryCalls += offered * seconds;
+            boolean recovered = history.recoveryCalls >= MIN_RECOVERY_CALLS
+                    || nowMillis - history.failedMillis >= MAX_RECOVERY_MILLIS;
+            history.failureRate = recovered ? 0 : history.failureRate;
+        }
+        if (history.failureRate > 0) {
+            rejectionRates.put(service, history.failureRate);
         }
     }
 
@@ -163,4 +188,9 @@
         }
         return Math.max(0, rate);
     }
+
+    /** Returns whether a service has rejected a noticeable part of its calls within the given time. */
+    boolean failedWithin(long millis) {
+        return nowMillis - lastFailureMillis < millis;
+    }
 }
--- a/core/src/main/java/org/trefoilledge/core/admission/TreeOutcomeLimit.java
+++ b/core/src/main/java/org/trefoilledge/core/admission/TreeOutcomeLimit.java
@@ -18,6 +18,8 @@
     private static final double DECREASE_FACTOR = 0.5;
     private static final double MIN_FRACTION = 0.1;
     private static final double INCREASE = 0.1;
+    /** Time after which the fraction grows although a host with little traffic has seen too few outcomes to decide. */
+    private static final long GROWTH_WITHOUT_EVIDENCE_MILLIS = 1_000;
     /** Part of failed trees above which the fraction falls. */
     private static final double HIGH_FAILURE_RATE = 0.5;
     /** Part of failed trees below which the fraction rises. */
@@ -79,6 +81,8 @@
             limit.change(Math.max(MIN_FRACTION, previous * DECREASE_FACTOR), now);
         } else if (limit.outcomes >= MIN_OUTCOMES) {
             limit.change(previous, now);
+        } else if (now - limit.changedMillis >= GROWTH_WITHOUT_EVIDENCE_MILLIS) {
+            limit.change(Math.min(1, previous + INCREASE), now);
         }
         return previous >= 1 != limit.fraction >= 1;
     }
--- a/core/src/main/java/org/trefoilledge/core/overload/LearnedCapacity.java
+++ b/core/src/main/java/org/trefoilledge/core/overload/LearnedCapacity.java
@@ -35,8 +35,8 @@
     private static final long MIN_TRIAL_INTERVAL_MILLIS = 20_000;
 
     private static final long MAX_TRIAL_INTERVAL_MILLIS = 60_000;
-    /** Time after which a limit below the slots is raised although too few calls compare it with a higher one. */
-    private static final long MAX_RAISE_TRIAL_MILLIS = 30_000;
+    /** Time after which a trial ends although too few calls compare the limits: a lower limit is then raised, others stay. */
+    private static final long MAX_TRIAL_MILLIS = 30_000;
     /** Time without calls at low concurrency after which their service time counts as not known. */
     private static final long LOW_CONCURRENCY_EXPIRY_MILLIS = 20_000;
     /** Fraction of the calls that start at the limit from which lower limits are tried. */
@@ -222,7 +222,7 @@
         }
         trial.advance(now, fullFraction >= FULL_FRACTION, meanDurationMillis, variance);
         LimitTrial.Result result = trial.result();
-        if (raising && result == LimitTrial.Result.UNDECIDED && now - trialStartMillis > MAX_RAISE_TRIAL_MILLIS) {
+        if (result == LimitTrial.Result.UNDECIDED && now - trialStartMillis > MAX_TRIAL_MILLIS) {
             result = LimitTrial.Result.INCONCLUSIVE;
         }
         if (result != LimitTrial.Result.UNDECIDED) {
--- a/core/src/main/java/org/trefoilledge/core/placement/PlacementExplainer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/PlacementExplainer.java
@@ -61,6 +61,12 @@
         }
         List<UpstreamFigures> near = winners(filter(usable, u -> u.inSubset() && isNear(u) && !isSetAside(u)));
         List<UpstreamFigures> far = winners(filter(usable, u -> u.inSubset() && !isNear(u) && !isSetAside(u)));
+        boolean nearIsCold = near.stream().allMatch(UpstreamFigures::cold);
+        if (!near.isEmpty() && nearIsCold && far.stream().anyMatch(u -> !u.cold())) {
+            Set<UpstreamFigures> choice = new LinkedHashSet<>(near);
+            choice.addAll(far);
+            return choice;
+        }
         if (!near.isEmpty()) {
             return spills ? chooseBetweenZones(near, far) : Set.copyOf(near);
         }
--- a/core/src/main/java/org/trefoilledge/core/placement/Placer.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Placer.java
@@ -186,10 +186,14 @@
     /** Prefers the local zone up to the spillover load; ejected upstreams are used only if there are no others. */
     private Upstream chooseByZone(ServiceUpstreams candidates, Set<HostId> excluded, long now, RandomGenerator random) {
         Upstream local = pickBetter(candidates.localZone, excluded, false, now, random);
-        if (local != null && meanLoad(candidates.localZone, now) <= settings.spilloverLoad()) {
+        boolean usesCold = local != null && local.candidate().cold() && !isUntriedCold(local, now);
+        if (local != null && !usesCold && meanLoad(candidates.localZone, now) <= settings.spilloverLoad()) {
             return local;
         }
         Upstream other = pickBetter(candidates.otherZones, excluded, false, now, random);
+        if (usesCold && other != null && !other.candidate().cold()) {
+            return other;
+        }
         if (local != null) {
             return other != null && isClearlyBetter(other, local, now) ? other : local;
         }
@@ -208,10 +212,10 @@
             return first;
         }
         Upstream second = pickRandom(group, first, excluded, includeEjected, now, random);
-        if (second == null || isUntriedCold(first)) {
+        if (second == null || isUntriedCold(first, now)) {
             return first;
         }
-        if (isUntriedCold(second)) {
+        if (isUntriedCold(second, now)) {
             return second;
         }
         if (!settings.expectedTime()) {
@@ -241,8 +245,8 @@
     }
 
     /** Returns whether a cold upstream has not answered this node yet. Each new upstream gets some calls at once. */
-    private static boolean isUntriedCold(Upstream upstream) {
-        return upstream.candidate().cold() && !upstream.isTried();
+    private static boolean isUntriedCold(Upstream upstream, long now) {
+        return upstream.candidate().cold() && upstream.isUntried(now);
     }
 
     private static double comparedLoad(Upstream upstream, long now) {
--- a/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
+++ b/core/src/main/java/org/trefoilledge/core/placement/Upstream.java
@@ -65,8 +65,10 @@
         return candidate;
     }
 
-    boolean isTried() {
-        return tried;
+    /** Returns whether the upstream has answered no call, and has refused none recently. */
+    boolean isUntried(long now) {
+        ReceivedReport report = lastReport;
+        return !tried && (report == null || now - report.receivedMillis() >= settings.maxReportAgeMillis());
     }
 
     void recordStart() {
@@ -132,15 +134,30 @@
         int own = inFlight.get();
         ReceivedReport report = lastReport;
         if (report == null) {
-            return (double) own / candidate.slots() + failureLoad(now);
+            return own / limit(null, 0) + failureLoad(now);
         }
         double freshness = freshness(report, now);
         double others = Math.max(0, report.load().inFlight() - report.ownInFlight()) * freshness;
-        double limit = candidate.slots() + (report.load().limit() - candidate.slots()) * freshness;
+        double limit = limit(report, freshness);
         double delayLoad = report.load().queueDelayMillis() * freshness / settings.maxReportAgeMillis();
         return (own + others) / Math.max(1, limit) + delayLoad + failureLoad(now);
     }
 
+    /**
+     * Returns the estimated limit of concurrent calls. An old report counts less than the slots; the limit of a cold
+     * upstream stays low until the upstream is announced as warm.
+     *
+     * @param report the last report, or null
+     */
+    private double limit(ReceivedReport report, double freshness) {
+        if (candidate.cold()) {
+            return report == null ? 1 : report.load().limit();
+        }
+        return report == null
+                ? candidate.slots()
+                : candidate.slots() + (report.load().limit() - candidate.slots()) * freshness;
+    }
+
     private double failureLoad(long now) {
         return LOAD_PER_FAILURE_RATE * Math.max(0, failureRate.decayedValue(now) - TOLERATED_FAILURE_RATE);
     }
@@ -156,11 +173,11 @@
         ReceivedReport report = lastReport;
         double relative = relativeTime(now);
         if (report == null) {
-            return relative * crowding((own + 1.0) / candidate.slots()) + failureLoad(now);
+            return relative * crowding((own + 1.0) / limit(null, 0)) + failureLoad(now);
         }
         double freshness = freshness(report, now);
         double others = Math.max(0, report.load().inFlight() - report.ownInFlight()) * freshness;
-        double limit = candidate.slots() + (report.load().limit() - candidate.slots()) * freshness;
+        double limit = limit(report, freshness);
         double mean = speed.meanMillis();
         double delay = mean > 0 ? report.load().queueDelayMillis() * freshness / mean : 0;
         return relative * crowding((own + others + 1) / Math.max(1, limit)) + delay + failureLoad(now);
@@ -180,11 +197,11 @@
         ReceivedReport report = lastReport;
         int own = inFlight.get();
         double others = 0;
-        double limit = candidate.slots();
+        double limit = limit(null, 0);
         if (report != null) {
             double freshness = freshness(report, now);
             others = Math.max(0, report.load().inFlight() - report.ownInFlight()) * freshness;
-            limit += (report.load().limit() - candidate.slots()) * freshness;
+            limit = limit(report, freshness);
         }
         return new UpstreamFigures(
                 candidate.host(),
--- a/core/src/test/java/org/trefoilledge/core/placement/PlacerTest.java
+++ b/core/src/test/java/org/trefoilledge/core/placement/PlacerTest.java
@@ -184,10 +184,24 @@
         placer.recordEnd(new HostId("cold"), Optional.of(new LoadReport(1, 1, 0, 0)), true, 0);
 
         assertThat(placedHosts(0)).containsExactly("n0");
+        assertThat(placedHosts(100)).containsExactly("n0");
         placer.recordEnd(new HostId("n0"), Optional.of(new LoadReport(12, 10, 0, 0)), true, 900);
+        placer.recordEnd(new HostId("cold"), Optional.of(new LoadReport(0, 1, 0, 0)), true, 900);
         assertThat(placedHosts(900)).containsExactly("cold");
     }
 
+    /** Guards against a zone whose upstreams are all cold and refuse most calls, while others have room. */
+    @Test
+    void warmUpstreamOfAnotherZoneIsPreferredToTriedColdOnes() {
+        placer.updateCandidates(
+                List.of(cold("c0", LOCAL_ZONE), cold("c1", LOCAL_ZONE), candidate("d0", OTHER_ZONE, 1)));
+        for (String host : List.of("c0", "c1")) {
+            placer.recordEnd(new HostId(host), Optional.of(new LoadReport(1, 1, 0, 0)), true, 0);
+        }
+
+        assertThat(placedHosts(0)).containsExactly("d0");
+    }
+
     @Test
     void coldUpstreamsServeWhenAllAreColdAndFull() {
         placer.updateCandidates(List.of(cold("c0", LOCAL_ZONE), cold("c1", LOCAL_ZONE)));
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -8,15 +8,11 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.Incarnation;
 import org.trefoilledge.core.admission.AdmissionPlan;
-import org.trefoilledge.core.admission.AdmissionPlanner;
-import org.trefoilledge.core.admission.NodeLoad;
-import org.trefoilledge.core.admission.RetryBounds;
 import org.trefoilledge.core.placement.Candidate;
 import org.trefoilledge.core.rate.ClaimPlanner;
 import org.trefoilledge.core.rate.RateClaim;
@@ -35,10 +31,6 @@
     private static final long TICK_INTERVAL_MILLIS = 250;
     /** Interval at which the zone collectors exchange their aggregated loads. */
     private static final long ZONE_EXCHANGE_INTERVAL_MILLIS = 400;
-    /** Used share of the fleet's retry allowance; below 1, because retried requests also repeat their own calls. */
-    private static final double RETRY_BUDGET_SHARE = 0.3;
-    /** The same with tree admission, whose budget is a sliding window; the rest covers the calls of retried executions. */
-    private static final double TREE_RETRY_BUDGET_SHARE = 0.7;
     /** Delay before the first listing when the whole fleet starts, in which all nodes write their entries. */
     private static final long FIRST_START_LIST_DELAY_MILLIS = 1_500;
     /** Delay between following the store and claiming; before, other candidates for a claim may not be known yet. */
@@ -50,7 +42,7 @@
     private final Clock clock;
     private final ConfigState configState;
     private final TrafficPlane traffic;
-    private final boolean treeAdmission;
+    private final RetryAllowance retryAllowance;
     private final Registration registration;
     private final StoreFollower follower;
     private final Directory directory;
@@ -88,8 +80,9 @@
         this.clock = clock;
         this.configState = configState;
         this.traffic = traffic;
-        this.treeAdmission =
+        boolean treeAdmission =
                 settings.enabledFeatures(platform.features(settings.terms())).contains(Feature.TREE_ADMISSION);
+        this.retryAllowance = new RetryAllowance(settings.bounds(), treeAdmission);
         StoreNotes notes = new StoreNotes(metrics);
         evacuations = new EvacuationState(settings.bounds().evacuationMillis().isPresent(), leaseClock);
         if (evacuations.isActive()) {
@@ -98,14 +91,7 @@
         registration = new Registration(control, store, notes, leaseClock, random, this::reloadDepartures);
         ClaimPlanner plan = new ClaimPlanner(settings.host(), incarnation, settings.zone(), settings.zones());
         claims = new RateClaims(
-                settings.host(),
-                incarnation,
-                plan,
-                store,
-                notes,
-                settings.firstStart(),
-                leaseClock,
-                new ClaimEffects());
+                settings.host(), incarnation, plan, store, notes, settings.firstStart(), leaseClock, traffic);
         directory = new Directory(settings.host(), settings.zone(), claims::applyChange);
         StartupConfig startupConfig = new StartupConfig(settings.firstStart(), directory);
         follower = new StoreFollower(
@@ -132,7 +118,7 @@
                 directory,
                 configs,
                 clock,
-                createPlanner());
+                retryAllowance.createPlanner());
         reports = new NodeReports(
                 settings.host(),
                 settings.zone(),
@@ -143,7 +129,7 @@
                 collector,
                 configs,
                 clock,
-                new TrafficLoad(),
+                new TrafficLoad(traffic, control),
                 new ReportEffects(),
                 treeAdmission);
         upstreamWatch =
@@ -321,22 +307,11 @@
     }
 
     private void publishMembers() {
-        double nodes = directory.others().size() + 1.0;
-        double share = treeAdmission ? TREE_RETRY_BUDGET_SHARE : RETRY_BUDGET_SHARE;
-        double reserve = settings.bounds().retrySlack() * share / nodes;
-        traffic.setRetryBudget(settings.bounds().retryRatio() * share, reserve);
+        retryAllowance.publish(traffic, directory.others().size() + 1);
         publishCandidates();
         publishHoldersIfChanged();
     }
 
-    private AdmissionPlanner createPlanner() {
-        SidecarSettings.Bounds bounds = settings.bounds();
-        return treeAdmission
-                ? new AdmissionPlanner(new RetryBounds(
-                        bounds.retryRatio() * TREE_RETRY_BUDGET_SHARE, bounds.retrySlack() * TREE_RETRY_BUDGET_SHARE))
-                : new AdmissionPlanner();
-    }
-
     private void publishCandidates() {
         List<Candidate> candidates = new ArrayList<>();
         Member self = selfEntry();
@@ -386,23 +361,6 @@
         }
     }
 
-    private final class TrafficLoad implements NodeReports.LoadSource {
-        @Override
-        public boolean underPressure() {
-            return traffic.isUnderPressure();
-        }
-
-        @Override
-        public NodeLoad nextLoad() {
-            return traffic.pollLoad();
-        }
-
-        @Override
-        public void sampleLoad(Consumer<NodeLoad> receiver) {
-            traffic.sampleLoad(control, receiver);
-        }
-    }
-
     private final class ReportEffects implements NodeReports.Listener {
         @Override
         public void planReceived(AdmissionPlan plan) {
@@ -422,16 +380,4 @@
             publishMembers();
         }
     }
-
-    private final class ClaimEffects implements RateClaims.ClaimHandler {
-        @Override
-        public void hold(RateClaim claim, long untilMillis) {
-            traffic.holdClaim(claim, untilMillis);
-        }
-
-        @Override
-        public CompletableFuture<Void> release(RateClaim claim) {
-            return traffic.releaseClaim(claim);
-        }
-    }
 }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/RateClaims.java
@@ -58,6 +58,9 @@
     private long leaseValidUntilMillis = Long.MIN_VALUE;
     /** Whether other nodes may hold claims that the store has lost, so that none is acquired. */
     private boolean restoring;
+    /** Whether confirmed claims were written without the epoch while the restore was recent. */
+    private boolean epochUnstated;
+
     /** Read also on the threads on which releases complete. */
     private final AtomicLong restores = new AtomicLong();
 
@@ -195,7 +198,9 @@
         }
         leaseValidUntilMillis = lease == 0 ? leaseValidUntilMillis : untilMillis;
         restoreDelay.observe(store.epoch(), now);
-        restoring = !restoreDelay.mayAcquire(now);
+        boolean mayAcquire = restoreDelay.mayAcquire(now);
+        epochUnstated |= restoring && mayAcquire;
+        restoring = !mayAcquire;
         kept.removeExpired().forEach(handler::release);
         if (leaving || lease == 0) {
             return;
@@ -205,6 +210,11 @@
         if (restoring) {
             return;
         }
+        if (epochUnstated) {
+            // The claims were written without the epoch, by which a node that restarts knows that it need not wait.
+            epochUnstated = false;
+            confirmedRevisions.keySet().forEach(claim -> writeClaim(claim, now));
+        }
         plan.claimsToAcquire(nodes, holders, now).forEach(claim -> writeClaim(claim, now));
         // A write whose answer was lost appears in the store as an unconfirmed claim of this run.
         Map.copyOf(holders).forEach((claim, holder) -> {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StartupConfig.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StartupConfig.java
@@ -15,8 +15,14 @@
     /** A node that has started reports to its collector within half a second, and to another one 0.8 s later. */
     private static final long MAX_WAIT_MILLIS = 2_000;
 
+    /** The same if another node has no configuration; a third one, which may have one, answers within this time. */
+    private static final long MAX_WAIT_WITH_EMPTY_PEER_MILLIS = 800;
+
     private final Directory directory;
     private boolean applied;
+    /** Whether a node has stated that it has no configuration. */
+    private boolean emptyPeer;
+
     private long waitingSinceMillis = Long.MIN_VALUE;
 
     /** @param firstStart whether the whole fleet starts for the first time, so that the store has the newest version */
@@ -27,10 +33,10 @@
 
     /**
      * Records the version that another node has stated. If that node has no configuration either, as after a power loss
-     * of the whole fleet, there is no reason to wait for it.
+     * of the whole fleet, there is less reason to wait.
      */
     void recordPeerVersion(long version) {
-        applied |= version == 0;
+        emptyPeer |= version == 0;
     }
 
     /**
@@ -48,7 +54,8 @@
             waitingSinceMillis = now;
         }
         boolean alone = directory.complete() && directory.others().isEmpty();
-        if (!alone && now - waitingSinceMillis < MAX_WAIT_MILLIS) {
+        long maxWaitMillis = emptyPeer ? MAX_WAIT_WITH_EMPTY_PEER_MILLIS : MAX_WAIT_MILLIS;
+        if (!alone && now - waitingSinceMillis < maxWaitMillis) {
             return false;
         }
         if (!alone) {
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/TrafficPlane.java
@@ -21,7 +21,7 @@
 import org.trefoilledge.core.routing.RoutingConfig;
 
 /** Passes settings from the control thread to the traffic thread. All values that are passed are immutable. */
-final class TrafficPlane {
+final class TrafficPlane implements RateClaims.ClaimHandler {
     private final EventLoop trafficLoop;
     private final UpstreamGate gate;
     private final Dispatcher dispatcher;
@@ -137,12 +137,14 @@
     }
 
     /** Grants tokens of a claim until the given time. */
-    void holdClaim(RateClaim claim, long untilMillis) {
+    @Override
+    public void hold(RateClaim claim, long untilMillis) {
         trafficLoop.execute(() -> tokens.hold(claim, untilMillis));
     }
 
     /** Stops granting tokens of a claim. Returns a future that completes once no more are granted. */
-    CompletableFuture<Void> releaseClaim(RateClaim claim) {
+    @Override
+    public CompletableFuture<Void> release(RateClaim claim) {
         return CompletableFuture.runAsync(() -> tokens.release(claim), trafficLoop);
     }
 
@@ -158,8 +160,9 @@
     /** Makes the traffic thread end the current interval, and passes its load to the receiver on the given executor. */
     void sampleLoad(Executor control, Consumer<NodeLoad> receiver) {
         trafficLoop.execute(() -> {
-            NodeLoad load = gate.sampleLoad();
-            lastLoad = load;
+            // The receiver waits for this call; without it, the node would never report again.
+            Repeated.runAndLogErrors(() -> lastLoad = gate.sampleLoad());
+            NodeLoad load = lastLoad;
             control.execute(() -> receiver.accept(load));
         });
     }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -23,7 +23,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,8 +39,6 @@
 @SuppressWarnings("FutureReturnValueIgnored") // channel events and timers report failures
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Logger LOG = LoggerFactory.getLogger(UpstreamConnection.class);
-    private static final long MILLIS_PER_SECOND = 1_000;
-    private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=([0-9]{1,6})(?![0-9])");
     private static final Pattern STATUS = Pattern.compile("[0-9]{3}");
     /** Limit of the bytes read before the head of a response is complete. The decoder limits the head itself. */
     private static final long MAX_BYTES_BEFORE_HEAD = 64 * 1024;
@@ -308,7 +305,7 @@
         CallAnswer answer = toAnswer();
         boolean hasBodyLength = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
         boolean reusable = !broken && hasBodyLength && HttpUtil.isKeepAlive(response) && !decoder.hasBufferedBytes();
-        keepAliveTimeoutMillis = parseKeepAliveTimeout(response);
+        keepAliveTimeoutMillis = KeepAliveHeader.timeoutMillis(response);
         Consumer<CallAnswer> callback = onAnswer;
         request = null;
         onAnswer = null;
@@ -353,16 +350,6 @@
         return answer.build();
     }
 
-    /** Returns the timeout of the Keep-Alive header in milliseconds, or the maximum value if absent or invalid. */
-    private static long parseKeepAliveTimeout(HttpResponse response) {
-        String keepAlive = response.headers().get("Keep-Alive");
-        if (keepAlive == null) {
-            return Long.MAX_VALUE;
-        }
-        Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(keepAlive);
-        return matcher.find() ? Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND : Long.MAX_VALUE;
-    }
-
     private void recordLostUnlessClosing() {
         if (!closing) {
             closing = true;
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamGate.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import org.trefoilledge.core.Clock;
 import org.trefoilledge.core.ErrorKind;
-import org.trefoilledge.core.Importance;
 import org.trefoilledge.core.OrganisationId;
 import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.ServiceId;
@@ -19,7 +18,6 @@
 import org.trefoilledge.core.overload.Guard;
 import org.trefoilledge.core.overload.GuardAction;
 import org.trefoilledge.core.overload.GuardSettings;
-import org.trefoilledge.core.overload.GuardedCall;
 import org.trefoilledge.core.overload.LoadReport;
 import org.trefoilledge.core.overload.Mechanism;
 import org.trefoilledge.wire.generated.Call;
@@ -31,14 +29,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // channel events and timers report failures
 final class UpstreamGate {
-    /** Pseudo-organisation of nested calls, which carry no organisation. */
-    static final OrganisationId NESTED_ORGANISATION = new OrganisationId("nested");
-
-    /** Nested calls belong to requests that already run, so they precede new requests, except the most important. */
-    private static final Importance NESTED_IMPORTANCE = Importance.HIGH;
-
-    /** Pseudo-organisation of requests on open routes, which carry no key. */
-    private static final OrganisationId OPEN_ORGANISATION = new OrganisationId("open");
     /** Interval of ticks while calls are queued. */
     private static final long QUEUE_TICK_MILLIS = 20;
 
@@ -54,7 +44,7 @@
     private final Clock clock;
     private final LoadMeter loadMeter;
     private final ColdStartControl coldStart;
-    private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
+    private final Map<Long, GateCall> pendingCalls = new HashMap<>();
     private final Guard guard;
     /** Null if the limit is not learned. */
     private final LearnedLimitLog learnedLimit;
@@ -72,33 +62,6 @@
     /** Why no call may reach the upstream at present; null if calls may reach it. */
     private String closedReason;
 
-    /** A queued or running call. */
-    private static final class PendingCall {
-        private final Call call;
-        private final RouteId route;
-        private final long deadlineMillis;
-        private final Consumer<CallAnswer> onAnswer;
-        private final long offeredMillis;
-        private long startedMillis;
-        /** The running call; null while the call is queued. */
-        private UpstreamPool.Execution execution;
-
-        private boolean sent;
-        private boolean cancelled;
-
-        PendingCall(Call call, long offeredMillis, Consumer<CallAnswer> onAnswer) {
-            this.call = call;
-            this.route = new RouteId(call.getRoute());
-            this.offeredMillis = offeredMillis;
-            this.deadlineMillis = offeredMillis + call.getDeadlineMillis();
-            this.onAnswer = onAnswer;
-        }
-
-        boolean isRunning() {
-            return execution != null;
-        }
-    }
-
     /** Creates a gate that limits no cold upstream. */
     UpstreamGate(EventLoop trafficLoop, UpstreamPool pool, LocalUpstream upstream, LoadMeter loadMeter, Clock clock) {
         this(trafficLoop, pool, upstream, loadMeter, ColdStartControl.disabled(clock), clock, false);
@@ -152,7 +115,7 @@
         double totalWeight =
                 newWeights.values().stream().mapToDouble(Double::doubleValue).sum();
         organisationWeights = new HashMap<>(newWeights);
-        organisationWeights.put(NESTED_ORGANISATION, Math.max(1, totalWeight));
+        organisationWeights.put(GateCall.NESTED_ORGANISATION, Math.max(1, totalWeight));
         guard.configure(upstream.slots(), organisationWeights);
     }
 
@@ -232,9 +195,9 @@
             return () -> {};
         }
         long ticket = ++lastTicket;
-        PendingCall pending = new PendingCall(call, now, onAnswer);
+        GateCall pending = new GateCall(call, now, onAnswer);
         pendingCalls.put(ticket, pending);
-        performActions(guard.offer(toGuardedCall(ticket, pending), now));
+        performActions(guard.offer(pending.toGuardedCall(ticket), now));
         if (guard.running() < pendingCalls.size()) {
             loadMeter.recordPressure();
         }
@@ -242,21 +205,6 @@
         return () -> cancel(ticket, pending);
     }
 
-    private GuardedCall toGuardedCall(long ticket, PendingCall pending) {
-        Call call = pending.call;
-        OrganisationId organisation = call.getNested()
-                ? NESTED_ORGANISATION
-                : call.getOrganisation().isEmpty() ? OPEN_ORGANISATION : new OrganisationId(call.getOrganisation());
-        return new GuardedCall(
-                ticket,
-                organisation,
-                call.getNested() ? NESTED_IMPORTANCE : Importance.of(call.getImportance()),
-                pending.route,
-                call.getRootHash(),
-                pending.deadlineMillis,
-                call.getIdempotent());
-    }
-
     /** Returns the refusal of a call, or null if the call may run. */
     private CallAnswer refusalFor(Call call, long now) {
         if (!call.getService().equals(upstream.service().value())) {
@@ -279,7 +227,7 @@
 
     /** Refuses queued calls that a cold upstream cannot get soon. */
     private void refuseQueuedAboveColdRate() {
-        for (Map.Entry<Long, PendingCall> entry : List.copyOf(pendingCalls.entrySet())) {
+        for (Map.Entry<Long, GateCall> entry : List.copyOf(pendingCalls.entrySet())) {
             if (!coldStart.isLimiting() || guard.running() == pendingCalls.size()) {
                 return;
             }
@@ -292,7 +240,7 @@
     }
 
     private void refuseQueued() {
-        for (Map.Entry<Long, PendingCall> entry : List.copyOf(pendingCalls.entrySet())) {
+        for (Map.Entry<Long, GateCall> entry : List.copyOf(pendingCalls.entrySet())) {
             if (!entry.getValue().isRunning()) {
                 guard.cancel(entry.getKey(), clock.millis());
                 complete(
@@ -302,7 +250,7 @@
         }
     }
 
-    private void cancel(long ticket, PendingCall pending) {
+    private void cancel(long ticket, GateCall pending) {
         if (pending.cancelled || pendingCalls.get(ticket) != pending) {
             return;
         }
@@ -330,7 +278,7 @@
     }
 
     private void startCall(long ticket) {
-        PendingCall pending = pendingCalls.get(ticket);
+        GateCall pending = pendingCalls.get(ticket);
         pending.startedMillis = clock.millis();
         RouteId route = pending.route;
         loadMeter.started(route, pending.startedMillis - pending.offeredMillis);
@@ -342,7 +290,7 @@
         });
     }
 
-    private CallAnswer refusalForSend(PendingCall pending) {
+    private CallAnswer refusalForSend(GateCall pending) {
         CallAnswer refusal = closedReason != null
                 ? Refusals.refusal(ErrorKind.NO_UPSTREAM, closedReason)
                 : coldStart.refusalForSend();
@@ -353,7 +301,7 @@
         return refusal;
     }
 
-    private void handleAnswer(long ticket, PendingCall pending, CallAnswer answer) {
+    private void handleAnswer(long ticket, GateCall pending, CallAnswer answer) {
         long now = clock.millis();
         if (pending.sent) {
             coldStart.recordExecution(now - pending.startedMillis);
@@ -366,7 +314,7 @@
         performActions(guard.finish(ticket, endOf(pending, answer), now));
     }
 
-    private CallEnd endOf(PendingCall pending, CallAnswer answer) {
+    private CallEnd endOf(GateCall pending, CallAnswer answer) {
         if (Refusals.isRefusal(answer) || answer.getStatus() >= 500) {
             return pending.cancelled ? CallEnd.ABANDONED : CallEnd.FAILED;
         }
@@ -374,7 +322,7 @@
     }
 
     /** Records whether the upstream has rejected a call, or has failed in a way that a retry can cure. */
-    private void recordAnswer(PendingCall pending, CallAnswer answer) {
+    private void recordAnswer(GateCall pending, CallAnswer answer) {
         if (pending == null || pending.cancelled || answer.getStatus() == ErrorKind.DEADLINE_EXCEEDED.status()) {
             return;
         }
@@ -388,7 +336,7 @@
     }
 
     private void complete(long ticket, CallAnswer answer) {
-        PendingCall pending = pendingCalls.remove(ticket);
+        GateCall pending = pendingCalls.remove(ticket);
         sentCalls -= pending != null && pending.sent ? 1 : 0;
         if (pending != null && !pending.cancelled) {
             boolean makesCalls = loadMeter.makesCalls(pending.route);
@@ -425,7 +373,7 @@
         long now = clock.millis();
         performActions(guard.tick(now));
         refuseQueuedAboveColdRate();
-        for (PendingCall pending : List.copyOf(pendingCalls.values())) {
+        for (GateCall pending : List.copyOf(pendingCalls.values())) {
             if (pending.isRunning() && now > pending.deadlineMillis + ABORT_DELAY_MILLIS) {
                 pending.execution.abort();
             }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/EvacuationStateTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/EvacuationStateTest.java
@@ -78,6 +78,20 @@
         assertThat(state.zones()).isEmpty();
     }
 
+    /** Guards against requests to an evacuated zone after a restore of the store has lost the evacuation. */
+    @Test
+    void evacuationIsKeptForATimeAfterARestoreOfTheStore() {
+        state.update(List.of("north"), now);
+        state.onRestore();
+        now += 4_999;
+        state.update(List.of("south"), now);
+        assertThat(state.zones()).containsExactlyInAnyOrder(NORTH, SOUTH);
+
+        now += 1;
+        state.update(List.of("south"), now);
+        assertThat(state.zones()).containsExactly(SOUTH);
+    }
+
     @Test
     void malformedNamesAreIgnored() {
         state.update(List.of("NORTH", "", "south", "a/b"), now);
