--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Feature.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Feature.java
@@ -5,9 +5,7 @@
     /** Admits only as many call trees as the retry budget can complete while upstreams reject calls. */
     TREE_ADMISSION("tree-admission"),
     /** Learns the speed and the usable concurrency of each upstream, and places calls by them. */
-    LEARNED_CAPACITY("learned-capacity"),
-    /** Sends a second request to another upstream when the first one is unusually slow. */
-    HEDGING("hedging");
+    LEARNED_CAPACITY("learned-capacity");
 
     private final String key;
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -266,10 +266,7 @@
     /** Returns whether the response has another request's id, or has none although a request was executed. */
     private boolean isForOtherRequest() {
         String id = responseHead.headers().get(pool.headerNames().requestId());
-        if (id == null) {
-            return !isNotExecuted();
-        }
-        return !id.equals(requestId());
+        return id == null ? !isNotExecuted() : !id.equals(requestId());
     }
 
     private String requestId() {
