Show how each version of the configuration reached a node, and how late the control thread is

A late collector, a watch without events and a late control thread looked the same. Now: the source (watch, read, peer) and the age of the last confirmation in the log line, trefoilledge_config_changes_total{source}, trefoilledge_control_delay. No decision is changed.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ConfigFetch.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ConfigFetch.java
@@ -26,7 +26,7 @@
     /** Receives a configuration document that was the newest one at the given time. */
     @FunctionalInterface
     interface Receiver {
-        void receive(byte[] document, ConfigState.Timestamp asOf);
+        void receive(byte[] document, ConfigState.Timestamp asOf, ConfigSource source);
     }
 
     /** @param onPeerVersion receives each version that a peer states, 0 if the peer has no configuration */
@@ -74,7 +74,8 @@
 
     private void receive(ConfigDocument document, ConfigState.Timestamp sent) {
         if (!document.getDocument().isEmpty()) {
-            receiver.receive(document.getDocument().toByteArray(), sent.minus(document.getAgeMillis()));
+            receiver.receive(
+                    document.getDocument().toByteArray(), sent.minus(document.getAgeMillis()), ConfigSource.PEER);
         }
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/LoopDelayMeter.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/LoopDelayMeter.java
@@ -11,11 +11,14 @@
     /** Delay from which the thread counts as behind. Callers on a host give up after about a second. */
     private static final long LOGGED_DELAY_MILLIS = 250;
 
+    private final String thread;
     private final Clock clock;
     private long dueMillis;
     private volatile long lastDelayMillis;
 
-    LoopDelayMeter(Clock clock) {
+    /** @param thread name of the thread in logs */
+    LoopDelayMeter(String thread, Clock clock) {
+        this.thread = thread;
         this.clock = clock;
         this.dueMillis = clock.millis() + INTERVAL_MILLIS;
     }
@@ -26,7 +29,7 @@
         lastDelayMillis = Math.max(0, now - dueMillis);
         dueMillis = now + INTERVAL_MILLIS;
         if (lastDelayMillis >= LOGGED_DELAY_MILLIS) {
-            LOG.warn("traffic: the traffic thread is {} ms late", lastDelayMillis);
+            LOG.warn("{}: the {} thread is {} ms late", thread, thread, lastDelayMillis);
         }
     }
 
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -187,12 +187,8 @@
         if (gate.learnedLimit() != null) {
             gate.learnedLimit().register(metrics);
         }
-        LoopDelayMeter trafficDelay = new LoopDelayMeter(clock);
-        metrics.registerGauge(
-                "trefoilledge.traffic.delay",
-                "Delay of the traffic thread in milliseconds",
-                trafficDelay::lastDelayMillis);
-        Repeated.scheduleWithFixedDelay(trafficLoop, LoopDelayMeter.INTERVAL_MILLIS, trafficDelay);
+        measureDelay("traffic", trafficLoop);
+        measureDelay("control", controlLoop);
         endpoints.add(new Endpoint(settings.operators(), controlGroup, this::handleOperator));
         endpoints.add(new Endpoint(
                 settings.ready(),
@@ -205,6 +201,15 @@
         Repeated.scheduleWithFixedDelay(trafficLoop, UPSTREAM_SWEEP_INTERVAL_MILLIS, upstreamPool::closeExpired);
     }
 
+    private void measureDelay(String thread, EventLoop loop) {
+        LoopDelayMeter delay = new LoopDelayMeter(thread, clock);
+        metrics.registerGauge(
+                "trefoilledge." + thread + ".delay",
+                "Delay of the " + thread + " thread in milliseconds",
+                delay::lastDelayMillis);
+        Repeated.scheduleWithFixedDelay(loop, LoopDelayMeter.INTERVAL_MILLIS, delay);
+    }
+
     private CompletableFuture<Endpoint.Response> handleOperator(String method, String path, byte[] body) {
         return path.equals(ExplainEndpoint.PATH)
                 ? explainEndpoint.handle(method, body)
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarMetrics.java
@@ -31,6 +31,7 @@
     private final ConcurrentMap<String, Counter> storeCallsByOutcome = new ConcurrentHashMap<>();
     private final ConcurrentMap<String, Counter> admissionRefusals = new ConcurrentHashMap<>();
     private final ConcurrentMap<String, Counter> retriesByOutcome = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Counter> configChangesBySource = new ConcurrentHashMap<>();
     private final Timer latency = Timer.builder("trefoilledge.answer.time")
             .description("Time from the last byte of a request to its answer")
             .serviceLevelObjectives(LATENCY_BUCKETS)
@@ -106,6 +107,16 @@
                 .increment();
     }
 
+    /** Counts a change of the configuration by how it reached this node: by a watch, a read or a peer. */
+    void recordConfigChange(String source) {
+        configChangesBySource
+                .computeIfAbsent(source, key -> Counter.builder("trefoilledge.config.changes")
+                        .description("Changes of the configuration by how they reached this node")
+                        .tag("source", key)
+                        .register(registry))
+                .increment();
+    }
+
     /** Counts a restore of the platform's store. */
     void recordStoreRestore() {
         storeRestores.increment();
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -184,7 +184,7 @@
             if (change.key().startsWith(Directory.PREFIX)) {
                 directoryChanges.add(change);
             } else if (change.key().equals(platform.configKey())) {
-                change.item().ifPresent(item -> applyStoreConfig(item.value(), asOf));
+                change.item().ifPresent(item -> applyStoreConfig(item.value(), asOf, ConfigSource.WATCH));
             } else if (evacuations.isActive() && change.key().startsWith(platform.evacuationPrefix())) {
                 evacuationsChanged = true;
             }
@@ -227,15 +227,15 @@
             configReadInFlight = false;
             notes.recordCall("read", error);
             if (error == null && item.isPresent()) {
-                applyStoreConfig(item.get().value(), sent);
+                applyStoreConfig(item.get().value(), sent, ConfigSource.READ);
                 listener.onConfigRead();
             }
         });
     }
 
-    private void applyStoreConfig(byte[] document, ConfigState.Timestamp asOf) {
+    private void applyStoreConfig(byte[] document, ConfigState.Timestamp asOf, ConfigSource source) {
         if (startup.acceptsFromStore(store.epoch(), configState.version() > 0, clock.millis())) {
-            applyConfig(document, asOf);
+            applyConfig(document, asOf, source);
         }
     }
 
@@ -265,7 +265,7 @@
             if (item.key().startsWith(platform.evacuationPrefix())) {
                 evacuated.add(item.key().substring(platform.evacuationPrefix().length()));
             } else if (item.key().equals(platform.configKey())) {
-                applyStoreConfig(item.value(), sent);
+                applyStoreConfig(item.value(), sent, ConfigSource.READ);
                 configRead = true;
             }
         }
@@ -276,10 +276,12 @@
     }
 
     /** Applies a configuration document, from the store or from a peer, that was the newest one at the given time. */
-    void applyConfig(byte[] document, ConfigState.Timestamp asOf) {
+    void applyConfig(byte[] document, ConfigState.Timestamp asOf, ConfigSource source) {
+        long previousVersion = configState.version();
+        long previousAgeMillis = configState.ageMillis();
         try {
             if (configState.update(platform.readConfig(document), document, asOf)) {
-                LOG.info("config: version {} is in force", configState.version());
+                notes.recordConfigChange(source, configState.version(), previousVersion, previousAgeMillis);
                 listener.onConfigChanged();
             }
         } catch (ConfigFormatException | RuntimeException e) {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/LoopDelayMeterTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/LoopDelayMeterTest.java
@@ -7,7 +7,7 @@
 
 class LoopDelayMeterTest {
     private final AtomicLong now = new AtomicLong(10_000);
-    private final LoopDelayMeter meter = new LoopDelayMeter(now::get);
+    private final LoopDelayMeter meter = new LoopDelayMeter("traffic", now::get);
 
     @Test
     void reportsByHowMuchARunIsLate() {
