Bound by each node's own reads for how long its configuration may be outdated

Cause: a node learned a version through a chain of intervals (watch of the collector, exchange between zones, report to the collector, its timeout, the next delegate), of which each was bounded and the sum was not. Without an answer from its collector a node read the store only once its last confirmation was 2.0 to 2.7 s old, with a bound of 2 s that it did not know, and a read that was not answered delayed the next one by a second.

Change: the bound is a setting (config-apply-s, from the platform's bounds). ConfigRefreshPolicy lets a node read the store once its last confirmation is 0.65 to 0.75 of the bound old, and repeats after 0.2 of it whether or not the first read was answered, so that the sum stays below the bound whatever other nodes do. A collector reads at 0.3 to 0.4, so that nodes whose collector answers seldom read.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ControlPlane.java
@@ -16,6 +16,7 @@
 import org.trefoilledge.core.placement.Candidate;
 import org.trefoilledge.core.rate.ClaimPlanner;
 import org.trefoilledge.core.rate.RateClaim;
+import org.trefoilledge.core.routing.ConfigRefreshPolicy;
 import org.trefoilledge.wire.PeerIdentity;
 import org.trefoilledge.wire.generated.StatusAnswer;
 import org.trefoilledge.wire.generated.StatusReport;
@@ -103,6 +104,7 @@
                 evacuations,
                 directory,
                 startupConfig,
+                new ConfigRefreshPolicy(settings.bounds().outdatedMillis(), random),
                 clock,
                 random,
                 new StoreListener());
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/SidecarSettings.java
@@ -54,6 +54,8 @@
         Bounds bounds,
         List<String> terms,
         Map<Feature, Boolean> features) {
+    private static final long DEFAULT_CONFIG_APPLY_MILLIS = 2_000;
+
     /** Copies the collections. */
     public SidecarSettings {
         terms = List.copyOf(terms);
@@ -64,6 +66,7 @@
      * Times and ratios that operators guarantee to their users.
      *
      * @param stopMillis maximum time from the stop signal to the end of the process
+     * @param configApplyMillis maximum time until a change of the configuration is in force on all nodes
      * @param revocationMillis maximum time until a withdrawn key is rejected, also on a node that is partitioned
      * @param heartbeatMillis interval between heartbeats of an upstream
      * @param retryRatio maximum retries to a service as a fraction of its requests
@@ -77,6 +80,7 @@
      */
     public record Bounds(
             long stopMillis,
+            long configApplyMillis,
             long revocationMillis,
             long heartbeatMillis,
             double retryRatio,
@@ -85,7 +89,12 @@
             double limitSlack,
             long limitWindowMillis,
             OptionalLong evacuationMillis,
-            Optional<ColdRequests> coldRequests) {}
+            Optional<ColdRequests> coldRequests) {
+        /** Returns the longest time for which what operators have written may be outdated on a node. */
+        long outdatedMillis() {
+            return Math.min(configApplyMillis, Math.min(revocationMillis, evacuationMillis.orElse(Long.MAX_VALUE)));
+        }
+    }
 
     /**
      * Bound of the requests that a cold upstream gets in one second, over all nodes.
@@ -163,6 +172,9 @@
     private static Bounds bounds(TomlReader toml) throws SettingsException {
         return new Bounds(
                 readSecondsAsMillis(toml, "stop-s"),
+                toml.keys().contains("config-apply-s")
+                        ? readSecondsAsMillis(toml, "config-apply-s")
+                        : DEFAULT_CONFIG_APPLY_MILLIS,
                 readSecondsAsMillis(toml, "revocation-s"),
                 readSecondsAsMillis(toml, "heartbeat-s"),
                 toml.number("retry-ratio", 0, 10),
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/StoreFollower.java
@@ -8,6 +8,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.Clock;
+import org.trefoilledge.core.routing.ConfigRefreshPolicy;
 
 /**
  * Reads the configuration, the nodes and the claims from the store. The collector of a zone, and nodes that receive no
@@ -24,14 +25,10 @@
 
     private static final long MIN_RETRY_DELAY_MILLIS = 150;
     private static final long MAX_RETRY_DELAY_MILLIS = 600;
-    /** Age of the configuration at which a collector reads it from the store, unless a peer has confirmed it since. */
-    private static final long COLLECTOR_MAX_CONFIG_AGE_MILLIS = 900;
-    /** Age at which other nodes do so. Longer, because their collector first needs a read or an exchange between zones. */
-    private static final long MAX_CONFIG_AGE_MILLIS = 2_000;
+    /** Longest interval of the checks whether a read is due; the age can jump if the host was suspended. */
+    private static final long MAX_AGE_CHECK_INTERVAL_MILLIS = 300;
 
-    private static final long REFRESH_JITTER_MILLIS = 700;
-    /** Interval at which the age of the configuration is checked. */
-    private static final long AGE_CHECK_INTERVAL_MILLIS = 300;
+    private static final long MIN_AGE_CHECK_INTERVAL_MILLIS = 10;
 
     private final EventLoop control;
     private final KeyValueStore store;
@@ -41,10 +38,10 @@
     private final EvacuationState evacuations;
     private final Directory directory;
     private final StartupConfig startup;
+    private final ConfigRefreshPolicy refreshPolicy;
     private final Clock clock;
     private final RandomGenerator random;
     private final Listener listener;
-    private boolean configReadInFlight;
     private boolean watching;
     private boolean collecting;
     /** Whether the evacuations have changed since the last read that was sent. */
@@ -72,6 +69,7 @@
             EvacuationState evacuations,
             Directory directory,
             StartupConfig startup,
+            ConfigRefreshPolicy refreshPolicy,
             Clock clock,
             RandomGenerator random,
             Listener listener) {
@@ -83,6 +81,7 @@
         this.evacuations = evacuations;
         this.directory = directory;
         this.startup = startup;
+        this.refreshPolicy = refreshPolicy;
         this.clock = clock;
         this.random = random;
         this.listener = listener;
@@ -93,7 +92,7 @@
         readConfig();
         long first = ++generation;
         control.schedule(() -> listFleet(first, false), listDelayMillis, TimeUnit.MILLISECONDS);
-        Repeated.scheduleWithFixedDelay(control, AGE_CHECK_INTERVAL_MILLIS, this::refreshIfStale);
+        refreshWhenDue();
     }
 
     /** Starts or stops watching the store. Has no effect until the directory is complete. */
@@ -118,7 +117,7 @@
     void onRestore() {
         generation++;
         if (watching) {
-            refreshConfig();
+            readConfig();
         }
         if (watching || !directory.complete()) {
             listFleet(generation, watching);
@@ -168,7 +167,7 @@
                 retryLater(() -> watch(requestGeneration, revision));
             } else if (result.historyLost()) {
                 LOG.info("store: history of changes lost; listing again");
-                refreshConfig();
+                readConfig();
                 listFleet(requestGeneration, true);
             } else {
                 Repeated.runAndLogErrors(() -> applyChanges(result.changes(), sent));
@@ -191,7 +190,7 @@
         }
         if (evacuationsChanged) {
             // A watch does not tell when its changes were the newest state; a read that is sent now does.
-            refreshConfig();
+            readConfig();
         }
         if (!directoryChanges.isEmpty()) {
             directory.applyStoreChanges(directoryChanges, clock.millis());
@@ -199,32 +198,30 @@
         }
     }
 
-    private void refreshIfStale() {
-        long maxAgeMillis = (collecting ? COLLECTOR_MAX_CONFIG_AGE_MILLIS : MAX_CONFIG_AGE_MILLIS)
-                + random.nextLong(REFRESH_JITTER_MILLIS);
-        long ageMillis = Math.max(configState.ageMillis(), evacuations.ageMillis());
-        if (!configReadInFlight && ageMillis >= maxAgeMillis) {
-            readConfig();
+    /** Reads the configuration if that is due, and schedules the next check. */
+    private void refreshWhenDue() {
+        if (millisUntilRead() == 0) {
+            Repeated.runAndLogErrors(this::readConfig);
         }
+        long delay =
+                Math.max(MIN_AGE_CHECK_INTERVAL_MILLIS, Math.min(MAX_AGE_CHECK_INTERVAL_MILLIS, millisUntilRead()));
+        control.schedule(this::refreshWhenDue, delay, TimeUnit.MILLISECONDS);
     }
 
-    private void refreshConfig() {
-        if (configReadInFlight) {
-            retryLater(this::refreshConfig);
-        } else {
-            readConfig();
-        }
+    private long millisUntilRead() {
+        long ageMillis = Math.max(configState.ageMillis(), evacuations.ageMillis());
+        return refreshPolicy.millisUntilRead(ageMillis, collecting, clock.millis());
     }
 
+    /** Sends a read even if an earlier one has not been answered, because that answer may be lost. */
     private void readConfig() {
-        configReadInFlight = true;
+        refreshPolicy.recordRead(clock.millis());
         ConfigState.Timestamp sent = configState.now();
         if (evacuations.isActive()) {
             readOperatorItems(sent);
             return;
         }
         store.read(platform.configKey()).whenComplete((item, error) -> {
-            configReadInFlight = false;
             notes.recordCall("read", error);
             if (error == null && item.isPresent()) {
                 applyStoreConfig(item.get().value(), sent, ConfigSource.READ);
@@ -245,12 +242,11 @@
         boolean afterChange = evacuationsChanged;
         evacuationsChanged = false;
         store.list(platform.operatorPrefix()).whenComplete((listing, error) -> {
-            configReadInFlight = false;
             notes.recordCall("list", error);
             if (error != null) {
                 if (afterChange) {
                     evacuationsChanged = true;
-                    retryLater(this::refreshConfig);
+                    retryLater(this::readConfig);
                 }
                 return;
             }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/MemoryStore.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.trefoilledge.configstore.StoreOutcomeUnknownException;
 import org.trefoilledge.configstore.StoreUnavailableException;
 
@@ -32,6 +33,9 @@
     private OptionalLong epoch = OptionalLong.empty();
     private final Set<String> readKeys = new HashSet<>();
     private final Set<String> listedPrefixes = new HashSet<>();
+    /** Receives the failure of the next read, whose answer is lost; null if none is. */
+    private Consumer<Runnable> lostRead;
+
     private volatile boolean down;
 
     private record Watcher(String prefix, long afterRevision, Call<KeyValueStore.WatchResult> call) {}
@@ -74,6 +78,15 @@
         down = unreachable;
     }
 
+    /**
+     * Loses the answer to the next read of a key.
+     *
+     * @param onLost receives an action that fails the read, to be run when it times out
+     */
+    synchronized void loseNextRead(Consumer<Runnable> onLost) {
+        lostRead = onLost;
+    }
+
     /** States an epoch in each answer from now on. */
     synchronized void epoch(long current) {
         epoch = OptionalLong.of(current);
@@ -232,6 +245,12 @@
             synchronized (MemoryStore.this) {
                 endExpiredLeases();
                 readKeys.add(key);
+                if (lostRead != null) {
+                    CompletableFuture<Optional<Item>> lost = new CompletableFuture<>();
+                    lostRead.accept(() -> lost.completeExceptionally(new StoreOutcomeUnknownException("lost")));
+                    lostRead = null;
+                    return lost;
+                }
                 return respond(Optional.ofNullable(items.get(key)));
             }
         }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetAddress;
@@ -16,27 +15,16 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.trefoilledge.core.HostId;
-import org.trefoilledge.core.OrganisationId;
-import org.trefoilledge.core.RouteId;
 import org.trefoilledge.core.ServiceId;
 import org.trefoilledge.core.ZoneId;
-import org.trefoilledge.core.routing.CallerLimits;
-import org.trefoilledge.core.routing.HostRoute;
-import org.trefoilledge.core.routing.OrganisationPolicy;
-import org.trefoilledge.core.routing.RoutingConfig;
-import org.trefoilledge.core.routing.ServicePolicy;
-import org.trefoilledge.core.routing.TrafficSplit;
 
 /** Sidecars with stub upstreams on the loopback interface and one in-memory store. */
 final class TestFleet implements AutoCloseable {
@@ -45,9 +33,10 @@
     /** A joining node must be listed before keys are refused, also on a heavily loaded machine. */
     static final long REVOCATION_MILLIS = 5_000;
 
-    static final String CONFIG_KEY = "operator/config";
-    static final String OPERATOR_PREFIX = "operator/";
-    private static final String EVACUATION_PREFIX = "operator/evacuated/";
+    private static final long CONFIG_APPLY_MILLIS = 2_000;
+
+    static final String CONFIG_KEY = TestPlatform.CONFIG_KEY;
+    static final String OPERATOR_PREFIX = TestPlatform.OPERATOR_PREFIX;
     private static final int MIN_PORT = 12_000;
     private static final int FIRST_EPHEMERAL_PORT = 32_768;
 
@@ -76,11 +65,11 @@
 
     /** Orders the evacuation of a zone, as operators do. */
     void evacuate(String zone) {
-        store.put(EVACUATION_PREFIX + zone, "{}".getBytes(StandardCharsets.UTF_8));
+        store.put(TestPlatform.EVACUATION_PREFIX + zone, "{}".getBytes(StandardCharsets.UTF_8));
     }
 
     void revokeEvacuation(String zone) {
-        store.remove(EVACUATION_PREFIX + zone);
+        store.remove(TestPlatform.EVACUATION_PREFIX + zone);
     }
 
     MemoryStore store() {
@@ -126,73 +115,6 @@
         return head.replaceAll("(?s).*X-Request: ([^\n]*)\n.*", "$1");
     }
 
-    /**
-     * Configurations have the format "version key" or "version key cold-per-second", announcements "id service slots
-     * sequence state start cold-millis".
-     */
-    private final class TestPlatform implements Platform {
-        @Override
-        public HeaderNames headers() {
-            return TestHeaders.HEADERS;
-        }
-
-        @Override
-        public KeyValueStore openStore(InetSocketAddress address, EventLoop control) {
-            return store.client(control);
-        }
-
-        @Override
-        public Set<Feature> features(List<String> terms) {
-            return Set.of();
-        }
-
-        @Override
-        public String configKey() {
-            return CONFIG_KEY;
-        }
-
-        @Override
-        public String operatorPrefix() {
-            return OPERATOR_PREFIX;
-        }
-
-        @Override
-        public String evacuationPrefix() {
-            return EVACUATION_PREFIX;
-        }
-
-        @Override
-        public RoutingConfig readConfig(byte[] document) {
-            List<String> parts = splitWords(document);
-            OrganisationPolicy bakery = new OrganisationPolicy(
-                    new OrganisationId("bakery"), Set.of(parts.get(1)), OptionalInt.empty(), 0, 0);
-            return new RoutingConfig(
-                    Long.parseLong(parts.get(0)),
-                    CallerLimits.DEFAULT,
-                    List.of(route("orders", ORDERS), route("tracking", TRACKING)),
-                    List.of(bakery),
-                    parts.size() < 3
-                            ? List.of()
-                            : List.of(new ServicePolicy(TRACKING, 5_000, Double.parseDouble(parts.get(2)), "")));
-        }
-
-        @Override
-        public Announcement readAnnouncement(String method, String path, byte[] body) {
-            if (method.equals("DELETE")) {
-                return new Announcement.Deregistration(path.substring(1));
-            }
-            List<String> parts = splitWords(body);
-            return new Announcement.Heartbeat(
-                    parts.get(0),
-                    new ServiceId(parts.get(1)),
-                    Integer.parseInt(parts.get(2)),
-                    parts.get(4).equals("draining"),
-                    Long.parseLong(parts.get(3)),
-                    Long.parseLong(parts.get(5)),
-                    OptionalLong.of(Long.parseLong(parts.get(6))));
-        }
-    }
-
     /** A host: an upstream, and a sidecar that can be stopped and started again at the same addresses. */
     final class Host implements AutoCloseable {
         private final UpstreamStub upstream;
@@ -219,6 +141,7 @@
                     "text",
                     new SidecarSettings.Bounds(
                             stopMillis,
+                            CONFIG_APPLY_MILLIS,
                             REVOCATION_MILLIS,
                             60_000,
                             0.2,
@@ -234,7 +157,7 @@
 
         void start() throws IOException {
             client = HttpClient.newHttpClient();
-            sidecar = Sidecar.start(settings, new TestPlatform());
+            sidecar = Sidecar.start(settings, new TestPlatform(store));
         }
 
         /** Stops the sidecar as planned. */
@@ -360,24 +283,6 @@
         }
     }
 
-    private static List<String> splitWords(byte[] bytes) {
-        return Arrays.asList(new String(bytes, StandardCharsets.UTF_8).split(" ", -1));
-    }
-
-    private static HostRoute route(String name, ServiceId service) {
-        return new HostRoute(
-                new RouteId(name),
-                "127.0.0.1",
-                "/" + name + "/",
-                true,
-                2_000,
-                500,
-                0,
-                TrafficSplit.single(service),
-                2,
-                false);
-    }
-
     private static InetSocketAddress loopback(int port) {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
