--- a/review/standins-2/SlowReaders.java
+++ b/review/standins-2/SlowReaders.java
@@ -76,6 +76,12 @@
                 for (int i = 0; i < downloaders; i++) {
                     List<String> ids = new ArrayList<>();
                     List<String> requests = new ArrayList<>();
+                    // The rule LOST is about kept connections: the download is not the first request on its connection.
+                    if (rule.equals("LOST")) {
+                        String id = Client.newId();
+                        ids.add(id);
+                        requests.add(Client.head("GET", "files.example", "/list/5/200/", id, TIMEOUT_MILLIS, 0));
+                    }
                     for (int j = 0; j < ahead; j++) {
                         String id = Client.newId();
                         ids.add(id);
