Upstream: close a connection on which bytes arrive between two requests

An upstream that sends the beginning of an earlier response again, on an idle connection, changed the next answer: callers got the status of the earlier response, or a request that had run was taken for one that had not.

Cause: bytes on an idle connection closed it only once they were a whole response. The decoder kept an incomplete one and put the next response behind it. The check for bytes behind a response counted only what the decoder had not consumed; it consumes a head line by line, so a copy cut at the end of a line was not seen even if it came in one read with the response.

Change: ResponseDecoder knows whether a response is expected, and does not decode bytes while none is. The connection leaves the pool and closes. Two counters and a log line show it.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/Sidecar.java
@@ -184,6 +184,14 @@
         metrics.registerGauge(
                 "trefoilledge.config.age", "Age of the configuration in milliseconds", currentConfig::ageMillis);
         metrics.registerGauge("trefoilledge.config.version", "Version of the configuration", currentConfig::version);
+        metrics.registerCounter(
+                "trefoilledge.upstream.connections",
+                "Connections that this node has opened to the upstream",
+                upstreamPool::connectionsOpened);
+        metrics.registerCounter(
+                "trefoilledge.upstream.unexpected.bytes",
+                "Connections to the upstream that were closed because of bytes that belong to no request",
+                upstreamPool::unexpectedBytes);
         if (gate.learnedLimit() != null) {
             gate.learnedLimit().register(metrics);
         }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -1,7 +1,6 @@
 package org.trefoilledge.sidecar;
 
 import com.google.protobuf.ByteString;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -9,11 +8,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -23,7 +20,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.trefoilledge.core.ErrorKind;
@@ -39,7 +35,6 @@
 @SuppressWarnings("FutureReturnValueIgnored") // channel events and timers report failures
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Logger LOG = LoggerFactory.getLogger(UpstreamConnection.class);
-    private static final Pattern STATUS = Pattern.compile("[0-9]{3}");
     /** Limit of the bytes read before the head of a response is complete. The decoder limits the head itself. */
     private static final long MAX_BYTES_BEFORE_HEAD = 64 * 1024;
     /** Limit of skipped responses per request: interim responses, and late responses to other requests. */
@@ -53,7 +48,6 @@
     private HttpResponse responseHead;
     private ByteString responseBody = ByteString.EMPTY;
     private long reservedBodyBytes;
-    private long bytesBeforeHead;
     private int skippedResponses;
     private boolean responseComplete;
     private boolean reused;
@@ -65,44 +59,11 @@
     /** Idle timeout that the upstream has announced in a Keep-Alive header. */
     private long keepAliveTimeoutMillis = Long.MAX_VALUE;
 
-    /**
-     * Decodes responses to HEAD requests without a body, rejects statuses that are not three digits, and detects bytes that
-     * follow a response.
-     */
-    private final class ResponseDecoder extends HttpResponseDecoder {
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            boolean headRequest = request != null && request.call().getMethod().equals(HttpMethod.HEAD.name());
-            return headRequest || super.isContentAlwaysEmpty(message);
-        }
-
-        @Override
-        protected HttpMessage createMessage(String[] initialLine) {
-            // The library parses the status as any integer: "0200" and "+200" would pass as 200.
-            if (!STATUS.matcher(initialLine[1]).matches()) {
-                throw new IllegalArgumentException("invalid status");
-            }
-            return super.createMessage(initialLine);
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext decoderContext, Object bytes) throws Exception {
-            if (responseHead == null && bytes instanceof ByteBuf buffer) {
-                bytesBeforeHead += buffer.readableBytes();
-            }
-            super.channelRead(decoderContext, bytes);
-        }
-
-        boolean hasBufferedBytes() {
-            return actualReadableBytes() > 0;
-        }
-    }
-
     UpstreamConnection(UpstreamPool pool) {
         this.pool = pool;
     }
 
-    HttpResponseDecoder decoder() {
+    ResponseDecoder decoder() {
         return decoder;
     }
 
@@ -121,8 +82,8 @@
         onAnswer = answerConsumer;
         responseHead = null;
         responseComplete = false;
-        bytesBeforeHead = 0;
         skippedResponses = 0;
+        decoder.expectResponse(newRequest.call().getMethod());
         context.writeAndFlush(toHttpRequest(newRequest)).addListener(written -> {
             if (!written.isSuccess()) {
                 recordLostUnlessClosing();
@@ -134,11 +95,15 @@
     /** Returns this connection, which has just opened, to the pool without a request. */
     void releaseUnused() {
         idleSinceMillis = pool.clock().millis();
-        if (context.channel().isActive()) {
+        if (isOpen()) {
             pool.release(this);
         }
     }
 
+    boolean isOpen() {
+        return context.channel().isActive();
+    }
+
     /** Aborts the request by closing the connection. */
     void abort() {
         fail("broken off");
@@ -146,6 +111,7 @@
 
     void close() {
         closing = true;
+        pool.discard(this);
         context.close();
     }
 
@@ -190,13 +156,8 @@
         if (broken) {
             return;
         }
-        if (request == null || responseComplete) {
-            broken = true;
-            LOG.info("upstream: closing a connection, unexpected bytes after a response");
-            return;
-        }
         if (part.decoderResult().isFailure()) {
-            fail("the answer is malformed");
+            fail("the answer is malformed: " + part.decoderResult().cause().getMessage());
             return;
         }
         if (part instanceof HttpResponse response) {
@@ -245,13 +206,14 @@
             skipResponse();
         } else {
             responseComplete = true;
+            decoder.endResponse();
         }
     }
 
     private void skipResponse() {
         responseHead = null;
         discardBody();
-        bytesBeforeHead = 0;
+        decoder.expectResponse(request.call().getMethod());
         if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
             fail("too many answers before the one to the request");
         }
@@ -286,9 +248,16 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext unused) {
-        if (!broken && request != null && responseHead == null && bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
+        if (!broken && request != null && responseHead == null && decoder.bytesBeforeHead() > MAX_BYTES_BEFORE_HEAD) {
             fail("no answer within " + MAX_BYTES_BEFORE_HEAD + " bytes");
         }
+        if (!broken && decoder.hasUnexpectedBytes()) {
+            broken = true;
+            pool.recordUnexpectedBytes();
+            LOG.info(
+                    "upstream: closing a connection, unexpected bytes {}",
+                    request == null ? "between two requests" : "after a response");
+        }
         if (broken) {
             close();
         }
@@ -301,7 +270,7 @@
         HttpResponse response = responseHead;
         CallAnswer answer = toAnswer();
         boolean hasBodyLength = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
-        boolean reusable = !broken && hasBodyLength && HttpUtil.isKeepAlive(response) && !decoder.hasBufferedBytes();
+        boolean reusable = !broken && hasBodyLength && HttpUtil.isKeepAlive(response);
         keepAliveTimeoutMillis = KeepAliveHeader.timeoutMillis(response);
         Consumer<CallAnswer> callback = onAnswer;
         request = null;
@@ -311,7 +280,7 @@
         responseComplete = false;
         reused = true;
         idleSinceMillis = pool.clock().millis();
-        if (reusable && context.channel().isActive()) {
+        if (reusable && isOpen()) {
             pool.release(this);
         } else {
             close();
@@ -355,11 +324,10 @@
     }
 
     private void fail(String reason) {
-        closing = true;
         broken = true;
         responseComplete = false;
         discardBody();
-        context.close();
+        close();
         if (onAnswer == null) {
             return;
         }
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,7 +44,8 @@
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
     private Consumer<String> onConnectionLost = reason -> {};
     private int establishedConnections;
-    private long connectionsOpened;
+    private final AtomicLong connectionsOpened = new AtomicLong();
+    private final AtomicLong unexpectedBytes = new AtomicLong();
 
     UpstreamPool(
             EventLoopGroup trafficGroup,
@@ -115,9 +117,9 @@
         expired.forEach(UpstreamConnection::close);
     }
 
-    /** Returns the number of connections that this pool has opened so far. */
+    /** Returns the number of connections that this pool has opened so far. Thread-safe. */
     long connectionsOpened() {
-        return connectionsOpened;
+        return connectionsOpened.get();
     }
 
     /** Returns an idle connection to the pool. */
@@ -130,10 +132,25 @@
         establishedConnections++;
     }
 
+    /** Removes a connection that is about to close, so that no request is sent on it. */
+    void discard(UpstreamConnection connection) {
+        idleConnections.remove(connection);
+    }
+
     /** Removes a closed connection. */
     void remove(UpstreamConnection connection) {
         establishedConnections--;
-        idleConnections.remove(connection);
+        discard(connection);
+    }
+
+    /** Records that bytes have arrived on a connection that belong to no request. */
+    void recordUnexpectedBytes() {
+        unexpectedBytes.incrementAndGet();
+    }
+
+    /** Returns how often bytes have arrived that belong to no request. Thread-safe. */
+    long unexpectedBytes() {
+        return unexpectedBytes.get();
     }
 
     /**
@@ -176,7 +193,7 @@
     }
 
     private void connect(UpstreamConnection connection, ChannelFutureListener onResult) {
-        connectionsOpened++;
+        connectionsOpened.incrementAndGet();
         new Bootstrap()
                 .group(trafficGroup)
                 .channel(SocketTransport.channelClass())
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamStub.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/UpstreamStub.java
@@ -54,6 +54,16 @@
         connections.get(0).close();
     }
 
+    /** Writes bytes to the oldest connection, unless the pool has closed it. */
+    void writeToOldestConnection(String text) {
+        try {
+            write(connections.get(0).getOutputStream(), text);
+        } catch (IOException e) {
+            // The pool closes a connection on which it has received earlier bytes.
+            return;
+        }
+    }
+
     static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.US_ASCII));
         out.flush();
@@ -69,6 +79,7 @@
         while (!listener.isClosed()) {
             try {
                 Socket socket = listener.accept();
+                socket.setTcpNoDelay(true);
                 connections.add(socket);
                 Thread worker = new Thread(() -> serve(socket), "stub-connection");
                 worker.setDaemon(true);
