--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
@@ -2,12 +2,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.AsciiString;
 import io.netty.util.ByteProcessor;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.regex.Pattern;
 
 /**
@@ -15,16 +20,33 @@
  * digits.
  *
  * <p>A faulty server may send the beginning of a response once more. If no response is expected, these bytes are
- * discarded, and the connection must not be used again.
+ * discarded, and the connection must not be used again. If they arrive after the next request was sent, the response to
+ * it follows them without a separator: a head in which a second status line appears is malformed.
  */
 public class ResponseDecoder extends HttpResponseDecoder {
     private static final Pattern STATUS = Pattern.compile("[0-9]{3}");
+    private static final String VERSION_PREFIX = "HTTP/1.";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
+
+    /** Name of the header that identifies the request, null if responses have none. */
+    private final String idHeader;
+
     private boolean expecting;
     private boolean awaitingHead;
     private boolean headRequest;
     private boolean unexpectedBytes;
     private long bytesBeforeHead;
 
+    /** Creates a decoder of responses that do not identify their request. */
+    public ResponseDecoder() {
+        this(null);
+    }
+
+    /** Creates a decoder of responses that identify their request by a header. */
+    ResponseDecoder(String idHeader) {
+        this.idHeader = idHeader;
+    }
+
     /** Must be called before a request is sent, and for each further response to it. */
     public void expectResponse(String method) {
         expecting = true;
@@ -64,8 +86,49 @@
             in.skipBytes(in.readableBytes());
             return;
         }
+        int firstDecoded = out.size();
         super.decode(context, in, out);
-        awaitingHead &= out.stream().noneMatch(HttpResponse.class::isInstance);
+        for (Object part : out.subList(firstDecoded, out.size())) {
+            rejectSecondStatusLine(part);
+        }
+    }
+
+    private void rejectSecondStatusLine(Object part) {
+        if (part instanceof HttpResponse response) {
+            awaitingHead = false;
+            if (hasSecondStatusLine(response.status().reasonPhrase(), response.headers())) {
+                response.setDecoderResult(
+                        DecoderResult.failure(new IllegalArgumentException("the head has a second status line")));
+            }
+        }
+    }
+
+    /**
+     * Returns whether a status line appears in the text or in the value of a header. It may if the id precedes it and is
+     * not repeated after it: two responses that run together have the id of the second one behind its status line.
+     */
+    private boolean hasSecondStatusLine(String reasonPhrase, HttpHeaders headers) {
+        boolean idSeen = false;
+        boolean statusLineSeen = containsStatusLine(reasonPhrase);
+        boolean idPrecedes = false;
+        boolean idFollows = false;
+        Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
+        while (entries.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> header = entries.next();
+            boolean isId = idHeader != null && AsciiString.contentEqualsIgnoreCase(header.getKey(), idHeader);
+            idFollows |= isId && statusLineSeen;
+            if (!statusLineSeen && containsStatusLine(header.getValue())) {
+                statusLineSeen = true;
+                idPrecedes = idSeen;
+            }
+            idSeen |= isId;
+        }
+        return statusLineSeen && (idFollows || !idPrecedes);
+    }
+
+    private static boolean containsStatusLine(CharSequence text) {
+        return AsciiString.contains(text, VERSION_PREFIX)
+                && STATUS_LINE.matcher(text).find();
     }
 
     @Override
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -41,7 +41,7 @@
     private static final int MAX_SKIPPED_RESPONSES = 16;
 
     private final UpstreamPool pool;
-    private final ResponseDecoder decoder = new ResponseDecoder();
+    private final ResponseDecoder decoder;
     private ChannelHandlerContext context;
     private UpstreamPool.UpstreamRequest request;
     private Consumer<CallAnswer> onAnswer;
@@ -61,6 +61,7 @@
 
     UpstreamConnection(UpstreamPool pool) {
         this.pool = pool;
+        decoder = new ResponseDecoder(pool.headerNames().requestId());
     }
 
     ResponseDecoder decoder() {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
@@ -4,6 +4,8 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
+import java.io.OutputStream;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +18,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.trefoilledge.core.Clock;
+import org.trefoilledge.core.ErrorKind;
 import org.trefoilledge.wire.SocketTransport;
 import org.trefoilledge.wire.generated.Call;
 import org.trefoilledge.wire.generated.CallAnswer;
@@ -60,7 +63,11 @@
         BETWEEN_REQUESTS,
         BETWEEN_REQUESTS_IN_PIECES,
         /** The first bytes arrive before the second request is sent, the others after it. */
-        AROUND_SECOND_REQUEST
+        AROUND_SECOND_REQUEST,
+        /** In one read with the second response, after the second request was sent. */
+        WITH_SECOND_RESPONSE,
+        BEFORE_SECOND_RESPONSE,
+        BEFORE_SECOND_RESPONSE_IN_PIECES
     }
 
     private static String head(String status, String headers) {
@@ -74,7 +81,10 @@
 
     /** The bytes are seen before the second request is sent, so that it is sent on another connection. */
     @ParameterizedTest
-    @EnumSource
+    @EnumSource(
+            mode = EnumSource.Mode.INCLUDE,
+            names = {"BEHIND_FIRST_RESPONSE", "BETWEEN_REQUESTS", "BETWEEN_REQUESTS_IN_PIECES", "AROUND_SECOND_REQUEST"
+            })
     void connectionIsReplacedWhereverTheRepeatedResponseIsCut(Moment moment) throws Exception {
         for (String earlier : EARLIER) {
             for (int length = 1; length <= earlier.length(); length += step(earlier, length)) {
@@ -89,6 +99,34 @@
         }
     }
 
+    /** Guards against an answer with the status of an earlier one, or the statement that its request has not run. */
+    @ParameterizedTest
+    @EnumSource(
+            mode = EnumSource.Mode.INCLUDE,
+            names = {"WITH_SECOND_RESPONSE", "BEFORE_SECOND_RESPONSE", "BEFORE_SECOND_RESPONSE_IN_PIECES"})
+    void answerIsItsOwnOrLostWhereverTheRepeatedHeadIsCut(Moment moment) throws Exception {
+        for (String earlier : EARLIER) {
+            for (int length = 1; length < headLength(earlier); length++) {
+                assertAnsweredOrLost(moment, earlier, length, NEXT.get(length % NEXT.size()));
+            }
+        }
+    }
+
+    @Test
+    void answerIsItsOwnOrLostWhicheverResponseFollowsTheRepeatedHead() throws Exception {
+        for (String earlier : EARLIER) {
+            for (String next : NEXT) {
+                for (int length = 1; length < headLength(earlier); length++) {
+                    assertAnsweredOrLost(Moment.WITH_SECOND_RESPONSE, earlier, length, next);
+                }
+            }
+        }
+    }
+
+    private static int headLength(String response) {
+        return response.indexOf("\r\n\r\n") + 4;
+    }
+
     /** Skips the inner part of a long body, in which each cut has the same effect. */
     private static int step(String response, int length) {
         boolean insideBody = response.charAt(length - 1) == 'z' && length + 40 < response.length();
@@ -98,13 +136,27 @@
     /** The answer to the second request, and what it took to get it. */
     private record Outcome(CallAnswer answer, long connectionsOpened, String description) {}
 
+    private void assertAnsweredOrLost(Moment moment, String earlier, int length, String next) throws Exception {
+        Outcome outcome = outcome(moment, earlier, length, next);
+        CallAnswer expected = answerOnNewConnection(next);
+
+        boolean lost = Refusals.isRefusal(outcome.answer(), ErrorKind.UPSTREAM_FAILED);
+        if (!lost || length == earlier.length()) {
+            assertThat(outcome.answer()).as(outcome.description()).isEqualTo(expected);
+        }
+        assertThat(outcome.connectionsOpened()).as(outcome.description()).isEqualTo(1);
+    }
+
     /** Sends two requests; the upstream repeats the first bytes of its first response. */
     private Outcome outcome(Moment moment, String earlier, int length, String next) throws Exception {
         String copy = earlier.substring(0, length);
         String description = "%s, cut after %d of: %s".formatted(moment, length, earlier);
         try (UpstreamStub upstream = new UpstreamStub((head, socket, out) -> {
-            String first = moment == Moment.BEHIND_FIRST_RESPONSE ? earlier + copy : earlier;
-            UpstreamStub.write(out, head.contains(FIRST) ? first : next);
+            if (head.contains(FIRST)) {
+                UpstreamStub.write(out, moment == Moment.BEHIND_FIRST_RESPONSE ? earlier + copy : earlier);
+            } else {
+                writeSecond(moment, copy, next, out);
+            }
         })) {
             UpstreamPool pool = newPool(upstream);
             call(pool, FIRST);
@@ -144,6 +196,26 @@
         return start(pool, SECOND);
     }
 
+    private static void writeSecond(Moment moment, String copy, String next, OutputStream out) throws IOException {
+        int half = copy.length() / 2;
+        switch (moment) {
+            case WITH_SECOND_RESPONSE -> UpstreamStub.write(out, copy + next);
+            case BEFORE_SECOND_RESPONSE -> {
+                UpstreamStub.write(out, copy);
+                pause();
+                UpstreamStub.write(out, next);
+            }
+            case BEFORE_SECOND_RESPONSE_IN_PIECES -> {
+                UpstreamStub.write(out, copy.substring(0, half));
+                pause();
+                UpstreamStub.write(out, copy.substring(half) + next.substring(0, 5));
+                pause();
+                UpstreamStub.write(out, next.substring(5));
+            }
+            default -> UpstreamStub.write(out, next);
+        }
+    }
+
     /** Responses of an upstream without a fault, which must neither fail nor cost a connection. */
     static Stream<String> soundResponses() {
         return Stream.of(
