Upstream: an answer behind a truncated body is lost at once, not at the deadline

An upstream that repeated a response, cut in its body, left the next caller waiting for its whole time: the answer was read as the rest of that body, which belonged to another request and was skipped.

Change: a body or trailer of a response to another request that contains the id of the waiting request ends it with 502 and closes the connection. A status line in a trailer is malformed.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ByteProcessor;
 import java.util.Iterator;
@@ -101,6 +102,14 @@
                         DecoderResult.failure(new IllegalArgumentException("the head has a second status line")));
             }
         }
+        if (part instanceof LastHttpContent last && hasHeadOfResponse(last.trailingHeaders())) {
+            last.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("the trailer is another head")));
+        }
+    }
+
+    private boolean hasHeadOfResponse(HttpHeaders trailer) {
+        return !trailer.isEmpty()
+                && (hasSecondStatusLine("", trailer) || (idHeader != null && trailer.contains(idHeader)));
     }
 
     /**
--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -193,6 +194,11 @@
             reservedBodyBytes += bytes;
             responseBody =
                     responseBody.concat(ByteString.copyFrom(content.content().nioBuffer()));
+            // A truncated body continues with the response to this request.
+            if (isForOtherRequest() && endOfBodyContainsRequestId(bytes)) {
+                fail("a response to another request contains the id of this one");
+                return;
+            }
         }
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -232,6 +238,17 @@
         return id == null ? !isNotExecuted() : !id.equals(requestId());
     }
 
+    /** Returns whether the request's id ends within the last bytes of the body. */
+    private boolean endOfBodyContainsRequestId(int lastBytes) {
+        String id = requestId();
+        int start = Math.max(0, responseBody.size() - lastBytes - id.length());
+        return !id.isEmpty()
+                && responseBody
+                        .substring(start)
+                        .toString(StandardCharsets.ISO_8859_1)
+                        .contains(id);
+    }
+
     private String requestId() {
         for (Header header : request.call().getHeadersList()) {
             if (header.getName().equalsIgnoreCase(pool.headerNames().requestId())) {
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
@@ -123,6 +123,19 @@
         }
     }
 
+    /** Guards against a caller that waits for its deadline, because its answer was read as a part of the earlier body. */
+    @Test
+    void answerIsItsOwnOrLostAtOnceWhereverTheRepeatedBodyIsCut() throws Exception {
+        for (String earlier : EARLIER) {
+            for (String next : NEXT) {
+                for (int length = headLength(earlier); length <= earlier.length(); length += step(earlier, length)) {
+                    assertAnsweredOrLost(Moment.WITH_SECOND_RESPONSE, earlier, length, next);
+                    assertAnsweredOrLost(Moment.BEFORE_SECOND_RESPONSE_IN_PIECES, earlier, length, next);
+                }
+            }
+        }
+    }
+
     private static int headLength(String response) {
         return response.indexOf("\r\n\r\n") + 4;
     }
