Upstream: a request is not run if its new connection closed before it was sent

A new connection that the upstream closes, or on which it sends bytes, before the request is written made the request fail with 502 (may have run), though nothing was sent. It is refused as not run now, so that another host can run it.

Evidence: RepeatedResponseTest.bytesOnANewConnectionBeforeTheRequestLeaveItNotRun fails without the change and passes with it.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/UpstreamPool.java
@@ -253,7 +253,10 @@
         }
 
         private void sendOnOpened(UpstreamConnection connection) {
-            if (refuseIfOver() || refuseIfNotPermitted()) {
+            if (!connection.isOpen()) {
+                onAnswer.accept(
+                        Refusals.refusal(ErrorKind.OVERLOADED, "the connection closed before the request was sent"));
+            } else if (refuseIfOver() || refuseIfNotPermitted()) {
                 connection.releaseUnused();
             } else {
                 sendOn(connection);
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
@@ -6,9 +6,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
@@ -277,8 +282,41 @@
         }
     }
 
+    /** The request was not sent, so that another host can execute it, even if it is not idempotent. */
+    @Test
+    void bytesOnANewConnectionBeforeTheRequestLeaveItNotRun() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            UpstreamPool pool = newPool((InetSocketAddress) listener.getLocalSocketAddress());
+            CountDownLatch written = new CountDownLatch(1);
+            trafficGroup.execute(() -> holdTrafficThreadWhileConnecting(pool, written));
+            CompletableFuture<CallAnswer> answer = start(pool, FIRST);
+            try (Socket socket = listener.accept()) {
+                UpstreamStub.write(socket.getOutputStream(), "HTTP/1.1 5");
+                written.countDown();
+
+                assertThat(Refusals.isNotRun(answer.get(5, TimeUnit.SECONDS))).isTrue();
+            }
+        }
+    }
+
+    /** Makes each turn of the traffic thread so long that the upstream's bytes arrive before the request is sent. */
+    private void holdTrafficThreadWhileConnecting(UpstreamPool pool, CountDownLatch written) {
+        try {
+            boolean connecting = pool.connectionsOpened() > 0;
+            if (!connecting || !written.await(300, TimeUnit.MILLISECONDS)) {
+                trafficGroup.execute(() -> holdTrafficThreadWhileConnecting(pool, written));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private UpstreamPool newPool(UpstreamStub upstream) {
-        return new UpstreamPool(trafficGroup, upstream.address(), TestHeaders.HEADERS, bodyMemory, Clock.system());
+        return newPool(upstream.address());
+    }
+
+    private UpstreamPool newPool(InetSocketAddress address) {
+        return new UpstreamPool(trafficGroup, address, TestHeaders.HEADERS, bodyMemory, Clock.system());
     }
 
     private CallAnswer call(UpstreamPool pool, String id) throws Exception {
