--- a/sidecar/src/main/java/org/trefoilledge/sidecar/DeferredActions.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/DeferredActions.java
@@ -11,7 +11,7 @@
  * Not thread-safe: used on the event loop only.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // the event loop logs tasks that fail
-final class DeferredActions {
+public final class DeferredActions {
     /** Time after which the sockets are polled again before further actions. */
     private static final long MAX_NANOS_BETWEEN_POLLS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -19,12 +19,12 @@
     private final Deque<Runnable> actions = new ArrayDeque<>();
     private boolean scheduled;
 
-    DeferredActions(EventLoop loop) {
+    public DeferredActions(EventLoop loop) {
         this.loop = loop;
     }
 
     /** Runs an action after the next poll. Actions run in the order of these calls; one that throws is logged. */
-    void add(Runnable action) {
+    public void add(Runnable action) {
         actions.addLast(action);
         if (!scheduled) {
             scheduled = true;
