--- a/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
@@ -19,6 +19,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -98,6 +99,52 @@
         }
     }
 
+    /** Guards against a repeated response, cut at any byte, that becomes a part of the response to the next request. */
+    @Test
+    void responseIsThatOfItsRequestWhereverARepeatedResponseIsCut() throws Exception {
+        Envelope request = call("/first").toBuilder().setStream(1).build();
+        int frameLength = encodeFrame(responseEnvelope(request)).length;
+        for (int cut = 1; cut <= frameLength; cut++) {
+            for (boolean beforeRequest : new boolean[] {true, false}) {
+                assertThat(targetOfSecondResponse(cut, beforeRequest))
+                        .as("cut after %d, before the second request %s", cut, beforeRequest)
+                        .isIn("/second", "lost");
+            }
+        }
+    }
+
+    /** Returns the target that the response to the second request repeats, "lost" if that request may have been sent. */
+    private String targetOfSecondResponse(int cut, boolean beforeRequest) throws Exception {
+        CompletableFuture<Envelope> second;
+        try (ServerSocket server = RawPeer.listen()) {
+            CompletableFuture<Envelope> first = transport.sendRequest(RawPeer.address(server), call("/first"), 10_000);
+            try (RawPeer peer = RawPeer.accept(server, PEER_IDENTITY)) {
+                byte[] frame = encodeFrame(responseEnvelope(peer.read()));
+                byte[] copy = Arrays.copyOf(frame, Math.min(cut, frame.length));
+                peer.write(frame);
+                assertThat(awaitEchoedTarget(first)).isEqualTo("/first");
+                if (beforeRequest) {
+                    peer.write(copy);
+                }
+                second = transport.sendRequest(RawPeer.address(server), call("/second"), 10_000);
+                byte[] next = encodeFrame(responseEnvelope(peer.read()));
+                if (!beforeRequest) {
+                    peer.write(copy);
+                }
+                peer.write(next);
+            }
+        }
+        return targetOrLost(second);
+    }
+
+    private static String targetOrLost(CompletableFuture<Envelope> response) throws Exception {
+        try {
+            return awaitEchoedTarget(response);
+        } catch (ExecutionException e) {
+            return ((PeerException) e.getCause()).maybeSent() ? "lost" : "not sent";
+        }
+    }
+
     @Test
     void truncatedResponseFailsTheRequest() throws Exception {
         CompletableFuture<Envelope> response = sendRequest("/");
