--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
@@ -90,49 +90,50 @@
         int firstDecoded = out.size();
         super.decode(context, in, out);
         for (Object part : out.subList(firstDecoded, out.size())) {
-            rejectSecondStatusLine(part);
+            rejectJoinedHead(part);
         }
     }
 
-    private void rejectSecondStatusLine(Object part) {
+    private void rejectJoinedHead(Object part) {
         if (part instanceof HttpResponse response) {
             awaitingHead = false;
-            if (hasSecondStatusLine(response.status().reasonPhrase(), response.headers())) {
+            if (containsStatusLine(response.status().reasonPhrase()) || hasStatusLine(response.headers())) {
                 response.setDecoderResult(
                         DecoderResult.failure(new IllegalArgumentException("the head has a second status line")));
             }
         }
-        if (part instanceof LastHttpContent last && hasHeadOfResponse(last.trailingHeaders())) {
-            last.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("the trailer is another head")));
+        if (part instanceof LastHttpContent last && !last.trailingHeaders().isEmpty()) {
+            HttpHeaders trailer = last.trailingHeaders();
+            if (hasStatusLine(trailer) || (idHeader != null && trailer.contains(idHeader))) {
+                last.setDecoderResult(
+                        DecoderResult.failure(new IllegalArgumentException("the trailer is the head of a response")));
+            }
         }
     }
 
-    private boolean hasHeadOfResponse(HttpHeaders trailer) {
-        return !trailer.isEmpty()
-                && (hasSecondStatusLine("", trailer) || (idHeader != null && trailer.contains(idHeader)));
-    }
-
     /**
-     * Returns whether a status line appears in the text or in the value of a header. It may if the id precedes it and is
-     * not repeated after it: two responses that run together have the id of the second one behind its status line.
+     * Returns whether a header contains the status line of another response. A value may look like one if the id precedes
+     * it and does not follow it: if two responses run together, the id of the second one follows its status line.
      */
-    private boolean hasSecondStatusLine(String reasonPhrase, HttpHeaders headers) {
+    private boolean hasStatusLine(HttpHeaders headers) {
         boolean idSeen = false;
-        boolean statusLineSeen = containsStatusLine(reasonPhrase);
-        boolean idPrecedes = false;
-        boolean idFollows = false;
+        boolean statusLineSeen = false;
         Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
         while (entries.hasNext()) {
             Map.Entry<CharSequence, CharSequence> header = entries.next();
             boolean isId = idHeader != null && AsciiString.contentEqualsIgnoreCase(header.getKey(), idHeader);
-            idFollows |= isId && statusLineSeen;
-            if (!statusLineSeen && containsStatusLine(header.getValue())) {
+            if (statusLineSeen && isId) {
+                return true;
+            }
+            if (containsStatusLine(header.getValue())) {
+                if (!idSeen) {
+                    return true;
+                }
                 statusLineSeen = true;
-                idPrecedes = idSeen;
             }
             idSeen |= isId;
         }
-        return statusLineSeen && (idFollows || !idPrecedes);
+        return false;
     }
 
     private static boolean containsStatusLine(CharSequence text) {
