ResponseDecoder: find a status line that follows a part of one

AsciiString.contains does not find "HTTP/1." in "HHTTP/1.1 200 OK": after a mismatch it does not try the current character as the first one. A copy that was cut behind an "H" in a header was therefore not noticed.

Evidence: with a header "Via: HHTTP/HTTP/1." among the repeated responses, four tests of RepeatedResponseTest fail without the change and pass with it.

--- a/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
+++ b/sidecar/src/main/java/org/trefoilledge/sidecar/ResponseDecoder.java
@@ -137,7 +137,7 @@
     }
 
     private static boolean containsStatusLine(CharSequence text) {
-        return AsciiString.contains(text, VERSION_PREFIX)
+        return text.toString().contains(VERSION_PREFIX)
                 && STATUS_LINE.matcher(text).find();
     }
 
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/RepeatedResponseTest.java
@@ -44,6 +44,7 @@
     private static final List<String> EARLIER = List.of(
             head("503 Unavailable", NOT_RUN + ID + FIRST + "\r\nContent-Length: 0\r\n"),
             head("503 Unavailable", "Content-Length: 0\r\n" + ID + FIRST + "\r\n" + NOT_RUN),
+            head("503 Unavailable", NOT_RUN + "Via: HHTTP/HTTP/1.\r\n" + ID + FIRST + "\r\nContent-Length: 0\r\n"),
             head("200 OK", ID + FIRST + "\r\n" + SIGNATURE + "Content-Length: 12\r\n") + "first answer",
             head("200 OK", SIGNATURE + "Content-Length: 400\r\n" + ID + FIRST + "\r\n") + "z".repeat(400),
             head("500 Error", ID + FIRST + "\r\nContent-Length: 5\r\n") + "sorry",
