Tests: FreePorts gives each port once, below the ephemeral ones

Cause: TestFleet drew the five ports of a host at random and closed each probe before the next draw, so that a port could be given twice to one host. Ruled out: outgoing connections (31470 is below the ephemeral ports, which begin at 32768), and servers of earlier tests (the probe fails on a port that is in use). Not ruled out: another process on the machine of that run, as its log names only the port.

CallerServerTest, EndpointTest, DispatcherTest and CallerLeavesTest, which took an ephemeral port and closed it before use, take it too.

No assertion is changed.

--- a/sidecar/src/test/java/org/trefoilledge/sidecar/CallerLeavesTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/CallerLeavesTest.java
@@ -6,9 +6,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Callable;
@@ -70,7 +68,7 @@
                 () -> CallerLimits.DEFAULT,
                 BodyMemoryLimit.forHeap(),
                 clock);
-        address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+        address = FreePorts.nextAddress();
         server.listen(address);
     }
 
@@ -217,7 +215,7 @@
     private String receiverAddress;
 
     private PeerLinks links(String host, EventLoopGroup group) throws IOException {
-        String listen = "127.0.0.1:" + freePort();
+        String listen = "127.0.0.1:" + FreePorts.nextAddress().getPort();
         receiverAddress = receiverAddress == null ? listen : receiverAddress;
         PeerRequestHandler handler = new PeerRequestHandler(gate, null, null, Runnable::run, null);
         return new PeerLinks(new PeerIdentity(new HostId(host), ZONE, new Incarnation(1)), listen, handler, group);
@@ -239,10 +237,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/CallerServerTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/CallerServerTest.java
@@ -7,9 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -64,9 +62,7 @@
 
     @BeforeEach
     void setUp() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-        }
+        address = FreePorts.nextAddress();
         server = new CallerServer(trafficGroup, new RecordingHandler(), () -> LIMITS, bodyMemory, Clock.system());
         server.listen(address);
     }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/DispatcherTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -63,7 +62,7 @@
         private volatile CallAnswer answer;
 
         PeerNode(String host) throws IOException {
-            String address = "127.0.0.1:" + freePort();
+            String address = "127.0.0.1:" + FreePorts.nextAddress().getPort();
             candidate = new Candidate(new HostId(host), ZONE, ORDERS, address, new Incarnation(1), 10);
             links = new PeerLinks(
                     new PeerIdentity(candidate.host(), ZONE, new Incarnation(1)), address, this, trafficGroup);
@@ -414,10 +413,4 @@
     private void runOnTrafficLoop(Runnable action) {
         trafficGroup.submit(action).syncUninterruptibly();
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/EndpointTest.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/EndpointTest.java
@@ -5,9 +5,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -31,9 +29,7 @@
 
     @BeforeEach
     void setUp() throws Exception {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-        }
+        address = FreePorts.nextAddress();
         endpoint = new Endpoint(address, group, (method, path, body) -> {
             if (path.equals("/broken")) {
                 throw new IllegalStateException("unexpected failure");
--- a/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
+++ b/sidecar/src/test/java/org/trefoilledge/sidecar/TestFleet.java
@@ -3,10 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -20,7 +18,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.trefoilledge.core.HostId;
 import org.trefoilledge.core.ServiceId;
@@ -37,8 +34,6 @@
 
     static final String CONFIG_KEY = TestPlatform.CONFIG_KEY;
     static final String OPERATOR_PREFIX = TestPlatform.OPERATOR_PREFIX;
-    private static final int MIN_PORT = 12_000;
-    private static final int FIRST_EPHEMERAL_PORT = 32_768;
 
     private final MemoryStore store = new MemoryStore();
     private final List<Host> hosts = new ArrayList<>();
@@ -131,12 +126,12 @@
                     List.of(zone),
                     service,
                     upstream.address(),
-                    loopback(freePort()),
-                    loopback(freePort()),
-                    loopback(freePort()),
-                    loopback(freePort()),
-                    loopback(freePort()),
-                    loopback(1),
+                    FreePorts.nextAddress(),
+                    FreePorts.nextAddress(),
+                    FreePorts.nextAddress(),
+                    FreePorts.nextAddress(),
+                    FreePorts.nextAddress(),
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
                     false,
                     "text",
                     new SidecarSettings.Bounds(
@@ -283,23 +278,6 @@
         }
     }
 
-    private static InetSocketAddress loopback(int port) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-    }
-
-    /** Returns an unused port below the range of ephemeral ports, so that no outgoing connection takes it meanwhile. */
-    private static int freePort() throws IOException {
-        for (int attempt = 0; attempt < 100; attempt++) {
-            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, FIRST_EPHEMERAL_PORT);
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
-            } catch (BindException inUse) {
-                // Try another port.
-            }
-        }
-        throw new IOException("no free port between " + MIN_PORT + " and " + FIRST_EPHEMERAL_PORT);
-    }
-
     @Override
     public void close() throws IOException {
         for (Host host : hosts) {
