Tests: a repeated response at the beginning of a new connection

To the store: the first call on a connection is sent as soon as it opens, so that these bytes become the head of its response.

Between hosts: such bytes make the handshake malformed.

--- a/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
+++ b/wire/src/test/java/org/trefoilledge/wire/HostilePeerTest.java
@@ -121,6 +121,25 @@
         }
     }
 
+    /** Guards against bytes on a new connection that become a part of the handshake or of a response. */
+    @Test
+    void requestHasNoAnswerIfAConnectionBeginsWithAResponse() throws Exception {
+        byte[] frame =
+                encodeFrame(responseEnvelope(call("/").toBuilder().setStream(1).build()));
+        for (int cut = 1; cut <= frame.length; cut++) {
+            CompletableFuture<Envelope> response;
+            try (ServerSocket server = RawPeer.listen()) {
+                response = transport.sendRequest(RawPeer.address(server), call("/"), 10_000);
+                try (RawPeer peer = RawPeer.acceptWithoutHello(server)) {
+                    byte[] hello = encodeFrame(RawPeer.helloEnvelope(PEER_IDENTITY));
+                    peer.write(concat(Arrays.copyOf(frame, cut), concat(hello, frame)));
+                    assertThat(peer.read().hasHello()).isTrue();
+                }
+            }
+            assertThat(targetOrLost(response)).as("cut after %d", cut).isIn("not sent", "lost");
+        }
+    }
+
     /** Returns the target that the response to the second request repeats, "lost" if that request may have been sent. */
     private String targetOfSecondResponse(int cut, Moment moment) throws Exception {
         CompletableFuture<Envelope> second;
--- a/wire/src/test/java/org/trefoilledge/wire/RawPeer.java
+++ b/wire/src/test/java/org/trefoilledge/wire/RawPeer.java
@@ -43,12 +43,17 @@
 
     /** Accepts a connection and exchanges identities. */
     static RawPeer accept(ServerSocket server, PeerIdentity self) throws IOException {
-        RawPeer peer = new RawPeer(server.accept());
+        RawPeer peer = acceptWithoutHello(server);
         peer.read();
         peer.write(encodeFrame(helloEnvelope(self)));
         return peer;
     }
 
+    /** Accepts a connection without reading or sending anything. */
+    static RawPeer acceptWithoutHello(ServerSocket server) throws IOException {
+        return new RawPeer(server.accept());
+    }
+
     /** Opens a connection without sending anything. */
     static RawPeer connect(String address) throws IOException {
         return new RawPeer(new Socket(
